--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: starts deployments on loopback, drives load, and reports."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked exhaustively by a model checker."""
--- /dev/null
+++ b/src/cassiashore/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of cassiashore; import from ``cassiashore`` instead."""
--- /dev/null
+++ b/src/cassiashore/_internal/admission/slots.py
@@ -0,0 +1,208 @@
+"""Slots of the targets that an instance admits to, and the queue for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.admission.rights import AdmissionRights
+from cassiashore._internal.catalogue.index import Catalogue, Service, Target
+from cassiashore._internal.models.outcome import Failure, Reason
+from cassiashore._internal.net.pool import ConnectionPool
+from cassiashore._internal.routing.health import MAX_EJECTED_SHARE, TargetHealth
+
+
+@dataclass(slots=True)
+class TargetState:
+    """A target with its requests in flight, health and connections."""
+
+    target: Target
+    connections: ConnectionPool
+    health: TargetHealth = field(default_factory=TargetHealth)
+    in_flight: int = 0
+    leaving: bool = False
+    draining: bool = False
+    listed_leaving: bool = False
+
+    @property
+    def is_going(self) -> bool:
+        """Tell whether the target takes no new work, by whichever signal came first."""
+        return self.draining or self.leaving or self.listed_leaving
+
+    def limit(self, utilisation: float, now: float) -> int:
+        """Return how many requests may run on the target at once now, at least one."""
+        slots = self.target.slots * utilisation * self.health.ramp(now)
+        return max(1, int(slots + 1e-9))
+
+    def load(self, now: float) -> float:
+        """Return in-flight requests per slot."""
+        return self.in_flight / self.limit(1.0, now)
+
+
+@dataclass(slots=True)
+class _Waiter:
+    future: asyncio.Future[TargetState]
+
+
+Chooser = Callable[[list[TargetState]], TargetState]
+
+
+class ServiceSlots:
+    """The targets of one service in the own failure domain.
+
+    A slot is taken and counted in one turn of the event loop, directly after the rights were
+    checked.
+    """
+
+    def __init__(
+        self,
+        rights: AdmissionRights,
+        check_pause: Callable[[], None],
+        monotonic: Callable[[], float],
+        choose: Chooser,
+    ) -> None:
+        """Start without targets; ``update`` gives them."""
+        self.state_by_target: dict[str, TargetState] = {}
+        self.choose = choose
+        self.service: Service | None = None
+        self._rights = rights
+        self._check_pause = check_pause
+        self._monotonic = monotonic
+        self._waiters: deque[_Waiter] = deque()
+
+    def update(self, service: Service, catalogue: Catalogue, failure_domain: str) -> None:
+        """Apply a catalogue version; a target with other limits or address starts anew."""
+        self.service = service
+        local = {
+            t.key: t for t in service.target_by_name.values() if t.failure_domain == failure_domain
+        }
+        for key in [k for k in self.state_by_target if k not in local]:
+            self.state_by_target.pop(key).connections.close()
+        for key, target in local.items():
+            state = self.state_by_target.get(key)
+            if state is None or state.target.address != target.address:
+                pool = ConnectionPool(target.address, target.connections)
+                state = TargetState(target, pool)
+                self.state_by_target[key] = state
+            state.target = target
+            state.connections.limit = target.connections
+            state.draining = catalogue.target_is_draining(target)
+        self.wake_waiters()
+
+    def free(self) -> list[TargetState]:
+        """Return the targets to which a request may be sent now."""
+        service = self.service
+        if service is None:
+            return []
+        self._check_pause()
+        now = self._monotonic()
+        return [
+            state
+            for key, state in self.state_by_target.items()
+            if state.in_flight < state.limit(service.utilisation, now)
+            and not state.is_going
+            and not state.health.is_ejected(now)
+            and self._rights.may_admit(key, now)
+        ]
+
+    def totals(self) -> tuple[int, int]:
+        """Return the free slots and all slots that may be used now."""
+        service = self.service
+        if service is None:
+            return 0, 0
+        now = self._monotonic()
+        free = total = 0
+        for key, state in self.state_by_target.items():
+            if state.is_going or state.health.is_ejected(now):
+                continue
+            if not self._rights.may_admit(key, now):
+                continue
+            limit = state.limit(service.utilisation, now)
+            total += limit
+            free += max(0, limit - state.in_flight)
+        return free, total
+
+    def mean_latency(self) -> float:
+        """Return the mean answer time of the held targets in seconds."""
+        held = [s for k, s in self.state_by_target.items() if k in self._rights.right_by_target]
+        if not held:
+            return 0.0
+        return sum(state.health.latency for state in held) / len(held)
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiters)
+
+    def try_take(self, avoid: frozenset[str] = frozenset()) -> TargetState | None:
+        """Take a slot if one is free and nobody waits before; prefer targets not in ``avoid``."""
+        if self._waiters:
+            return None
+        return self._take_free(avoid)
+
+    async def take(
+        self, wait_seconds: float, avoid: frozenset[str] = frozenset()
+    ) -> Result[TargetState, Failure]:
+        """Take a slot, waiting in the queue for at most ``wait_seconds``."""
+        state = self.try_take(avoid)
+        if state is not None:
+            return Ok(state)
+        service = self.service
+        if service is None or wait_seconds <= 0 or len(self._waiters) >= service.queue_length:
+            return Err(Failure.not_run(Reason.NO_CAPACITY, "no slot is free"))
+        if not any(key in self._rights.right_by_target for key in self.state_by_target):
+            return Err(Failure.not_run(Reason.NO_CAPACITY, "no target is held here"))
+        waiter = _Waiter(asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(wait_seconds):
+                return Ok(await waiter.future)
+        except TimeoutError:
+            return Err(Failure.not_run(Reason.NO_CAPACITY, "no slot became free in time"))
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.give_back(waiter.future.result())
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def give_back(self, state: TargetState) -> None:
+        """Return a slot and pass it to the request that waits longest."""
+        state.in_flight -= 1
+        self.wake_waiters()
+
+    def wake_waiters(self) -> None:
+        """Give free slots to waiting requests, in the order in which they came."""
+        while self._waiters:
+            waiter = self._waiters[0]
+            if waiter.future.done():
+                self._waiters.popleft()
+                continue
+            state = self._take_free(frozenset())
+            if state is None:
+                return
+            self._waiters.popleft()
+            waiter.future.set_result(state)
+
+    def eject_if_allowed(self, state: TargetState) -> bool:
+        """Eject a failing target, unless too many are ejected already; tell whether it was."""
+        now = self._monotonic()
+        ejected = sum(s.health.is_ejected(now) for s in self.state_by_target.values())
+        if (ejected + 1) / len(self.state_by_target) > MAX_EJECTED_SHARE:
+            return False
+        state.health.eject(now)
+        return True
+
+    def _take_free(self, avoid: frozenset[str]) -> TargetState | None:
+        candidates = self.free()
+        if not candidates:
+            return None
+        preferred = [s for s in candidates if s.target.key not in avoid] if avoid else candidates
+        state = self.choose(preferred or candidates)
+        state.in_flight += 1
+        return state
--- /dev/null
+++ b/src/cassiashore/_internal/catalogue/bundle.py
@@ -0,0 +1,113 @@
+"""Storage form of a catalogue version: a manifest and content-addressed parts.
+
+The manifest is the only key that changes; it names each part by the SHA-256 of its bytes, so a
+version is visible either whole or not at all. Parts hold canonical JSON.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+
+import msgspec
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from cassiashore._internal.catalogue.index import Catalogue, build_catalogue
+from cassiashore._internal.catalogue.schema import CatalogueSpec
+from cassiashore._internal.validation import fault_lines
+
+MANIFEST_KEY = "catalogue/manifest"
+PART_KEY_PREFIX = "catalogue/parts/"
+HISTORY_KEY_PREFIX = "catalogue/history/"
+MAX_PART_BYTES = 1_000_000
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One accepted change; ``at`` is in seconds since the epoch, by the publisher's clock."""
+
+    version: int
+    change_id: str
+    author: str
+    at: float
+
+
+class Manifest(msgspec.Struct, frozen=True):
+    """Names the parts of one catalogue version and the change that made it.
+
+    ``changes`` lists the latest changes, newest first.
+    """
+
+    version: int
+    change_id: str
+    author: str
+    parts: dict[str, str]
+    changes: list[Change] = []
+
+
+class Bundle(msgspec.Struct, frozen=True):
+    """A manifest with the bytes of its parts, by digest."""
+
+    manifest: Manifest
+    part_by_digest: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class BundleFault:
+    """A bundle that must not be applied, and why."""
+
+    version: int
+    faults: list[str]
+
+
+def digest_of(content: bytes) -> str:
+    """Return the SHA-256 of a part in hexadecimal."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def make_bundle(spec: CatalogueSpec, version: int, change_id: str, author: str) -> Bundle:
+    """Split a catalogue into parts: one per service, one for networks, one for the rest."""
+    document = spec.model_dump(mode="json", by_alias=True)
+    services = document.pop("services")
+    networks = document.pop("networks")
+    content_by_part = {"base": _canonical(document), "networks": _canonical(networks)}
+    for service in services:
+        content_by_part[f"service/{service['name']}"] = _canonical(service)
+    parts = {name: digest_of(content) for name, content in content_by_part.items()}
+    part_by_digest = {parts[name]: content for name, content in content_by_part.items()}
+    return Bundle(Manifest(version, change_id, author, parts), part_by_digest)
+
+
+def open_spec(bundle: Bundle) -> Result[CatalogueSpec, BundleFault]:
+    """Check every part of a bundle against its digest and the schema."""
+    manifest = bundle.manifest
+    document: dict[str, object] = {}
+    services: list[object] = []
+    for name, digest in sorted(manifest.parts.items()):
+        content = bundle.part_by_digest.get(digest)
+        if content is None:
+            return Err(BundleFault(manifest.version, [f'part "{name}" ({digest}) is missing']))
+        if digest_of(content) != digest:
+            return Err(BundleFault(manifest.version, [f'part "{name}" does not match {digest}']))
+        value = json.loads(content)
+        if name == "base":
+            document.update(value)
+        elif name == "networks":
+            document["networks"] = value
+        else:
+            services.append(value)
+    document["services"] = services
+    try:
+        return Ok(CatalogueSpec.model_validate(document))
+    except ValidationError as error:
+        return Err(BundleFault(manifest.version, fault_lines("catalogue", error)))
+
+
+def open_bundle(bundle: Bundle) -> Result[Catalogue, BundleFault]:
+    """Check a bundle and index its catalogue."""
+    return open_spec(bundle).map(lambda spec: build_catalogue(spec, bundle.manifest.version))
+
+
+def _canonical(value: object) -> bytes:
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/cassiashore/_internal/catalogue/keeper.py
@@ -0,0 +1,65 @@
+"""The catalogue version in force at one instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.catalogue.bundle import Bundle, BundleFault, Manifest, open_bundle
+from cassiashore._internal.catalogue.index import Catalogue
+
+Listener = Callable[[Catalogue], None]
+
+
+class CatalogueKeeper:
+    """Activates whole versions, and only upward."""
+
+    def __init__(self) -> None:
+        """Start without a version."""
+        self.bundle: Bundle | None = None
+        self.catalogue: Catalogue | None = None
+        self.rejected: BundleFault | None = None
+        self._listeners: list[Listener] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.bundle.manifest.version if self.bundle else 0
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` in each activation, before any other decision is made."""
+        self._listeners.append(listener)
+
+    def part_digests(self) -> list[str]:
+        """List the parts at hand, which need not be fetched again."""
+        return sorted(self.bundle.part_by_digest) if self.bundle else []
+
+    def missing_parts(self, manifest: Manifest) -> list[str]:
+        """List the digests of a manifest's parts that are not at hand."""
+        have = self.bundle.part_by_digest if self.bundle else {}
+        return sorted({digest for digest in manifest.parts.values() if digest not in have})
+
+    def complete(self, manifest: Manifest, fetched: dict[str, bytes]) -> Bundle:
+        """Join fetched parts with those at hand."""
+        have = self.bundle.part_by_digest if self.bundle else {}
+        known = {**have, **fetched}
+        digests = set(manifest.parts.values())
+        return Bundle(manifest, {digest: known[digest] for digest in digests if digest in known})
+
+    def activate(self, bundle: Bundle) -> Result[bool, BundleFault]:
+        """Put a version in force if it is newer; the value tells whether it was.
+
+        A version that does not pass the checks is kept out whole, and the one in force stays.
+        """
+        if bundle.manifest.version <= self.version:
+            return Ok(False)
+        opened = open_bundle(bundle)
+        if isinstance(opened, Err):
+            self.rejected = opened.err_value
+            return opened
+        self.bundle = bundle
+        self.catalogue = opened.ok_value
+        for listener in self._listeners:
+            listener(self.catalogue)
+        return Ok(True)
--- /dev/null
+++ b/src/cassiashore/_internal/cli/output.py
@@ -0,0 +1,49 @@
+"""Output and exit codes of the commands."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any, NoReturn
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNKNOWN = 3
+
+
+def say(text: str) -> None:
+    """Print a line of results."""
+    print(text)
+
+
+def progress(text: str) -> None:
+    """Print a line that tells how far a long command has come."""
+    print(text, file=sys.stderr)
+
+
+def fail(text: str, code: int = EXIT_REFUSED) -> NoReturn:
+    """Print why the command failed, and exit."""
+    print(text, file=sys.stderr)
+    raise SystemExit(code)
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Format rows in aligned columns.
+
+    >>> print(table(["a", "bb"], [[1, 2]]))
+    a  bb
+    1  2
+    """
+    texts = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[i]) for row in texts) for i in range(len(header))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in texts
+    ]
+    return "\n".join(lines)
--- /dev/null
+++ b/src/cassiashore/_internal/cli/standin.py
@@ -0,0 +1,62 @@
+"""``cassiashore standin``: runs stand-ins of the store and of targets, for trials and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from cassiashore._internal.http.server import HttpServer
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.standins.store import build_store_app
+from cassiashore._internal.standins.target import StandinTarget, TargetBehaviour
+
+
+class TargetProcessSpec(msgspec.Struct):
+    """One target of a stand-in process."""
+
+    name: str
+    address: str
+    slots: int
+    behaviour: TargetBehaviour = msgspec.field(default_factory=TargetBehaviour)
+
+
+class StandinCommands:
+    """Run stand-ins of the systems around cassiashore."""
+
+    def store(self, listen: str) -> None:
+        """Run a stand-in of the platform's key-value service at IP:PORT."""
+        uvloop.run(_serve_store(Address.parse(listen)))
+
+    def targets(self, file: str) -> None:
+        """Run stand-ins of targets; the JSON file lists name, address and slots of each."""
+        specs = msgspec.json.decode(Path(file).read_bytes(), type=list[TargetProcessSpec])
+        uvloop.run(_serve_targets(specs))
+
+
+async def _serve_store(address: Address) -> None:
+    app = build_store_app()
+    await app.start()  # type: ignore[no-untyped-call]
+    await _serve_until_signal([HttpServer(app, address)])
+
+
+async def _serve_targets(specs: list[TargetProcessSpec]) -> None:
+    servers = []
+    for spec in specs:
+        target: Any = StandinTarget(spec.name, spec.slots, spec.behaviour)
+        servers.append(HttpServer(target, Address.parse(spec.address)))
+    await _serve_until_signal(servers)
+
+
+async def _serve_until_signal(servers: list[HttpServer]) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    for server in servers:
+        await server.start()
+    await stop.wait()
--- /dev/null
+++ b/src/cassiashore/_internal/dns/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups over DNS."""
--- /dev/null
+++ b/src/cassiashore/_internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: its composition root and its life cycle."""
--- /dev/null
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -0,0 +1,455 @@
+"""What an instance does with the other instances: reacts to messages and runs periodic work."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok
+
+from cassiashore._internal.admission.rights import AdmissionRights, preferred_holder
+from cassiashore._internal.catalogue.bundle import Bundle, Manifest, digest_of
+from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.observability.logs import DecisionLog
+from cassiashore._internal.peers.gossip import Gossip
+from cassiashore._internal.peers.link import PeerLink
+from cassiashore._internal.peers.membership import (
+    ENDED_STATES,
+    Evidence,
+    Member,
+    Membership,
+    MemberState,
+)
+from cassiashore._internal.peers.mesh import Mesh, MeshListener
+from cassiashore._internal.peers.messages import (
+    CatalogueManifest,
+    CataloguePart,
+    CatalogueWanted,
+    ClaimReply,
+    ClaimRequest,
+    CrashReport,
+    DomainDigest,
+    Goodbye,
+    HandOver,
+    Heartbeat,
+    Holds,
+    Identity,
+    InstanceList,
+    Members,
+    Message,
+)
+from cassiashore._internal.peers.steward import RightsSteward
+from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.settings import PeerSettings, StoreSettings
+from cassiashore._internal.store.client import ListedInstance, StoreClient
+
+logger = logging.getLogger(__name__)
+
+WATCHERS_PER_DOMAIN = 2
+STEP_SECONDS = 0.05
+REGISTRATION_PREFIX = "instances/"
+REGISTRATION_SECONDS = 600.0
+ENDED_MEMBERS_KEPT = 32
+STORE_RETRY_SECONDS = 1.0
+WANTED_INTERVAL_SECONDS = 0.5
+
+MessageT = TypeVar("MessageT", bound=Message)
+_Handler = Callable[["Cluster", PeerLink, Any], None]
+_handler_by_type: dict[type, _Handler] = {}
+
+
+def _on(message_type: type) -> Callable[[_Handler], _Handler]:
+    """Register the handler of a message type."""
+
+    def register(handler: _Handler) -> _Handler:
+        _handler_by_type[message_type] = handler
+        return handler
+
+    return register
+
+
+class Cluster(MeshListener):
+    """Connects membership, gossip, rights and catalogue with the mesh of links."""
+
+    def __init__(
+        self,
+        own: Identity,
+        peer_key: bytes,
+        membership: Membership,
+        keeper: CatalogueKeeper,
+        rights: AdmissionRights,
+        poison: PoisonRegistry,
+        store: StoreClient,
+        peer_settings: PeerSettings,
+        store_settings: StoreSettings,
+        seeds: list[Address],
+        decisions: DecisionLog,
+        monotonic: Callable[[], float],
+    ) -> None:
+        """Keep the parts; ``attach`` completes them."""
+        self.own = own
+        self.mesh = Mesh(own, peer_key, self)
+        self.membership = membership
+        self.steward = RightsSteward(rights, membership, self.mesh, decisions, monotonic)
+        self.is_leaving = False
+        self.listed_leaving: frozenset[str] = frozenset()
+        self._gossip: Gossip | None = None
+        self._keeper = keeper
+        self._rights = rights
+        self._poison = poison
+        self._store = store
+        self._peer_settings = peer_settings
+        self._store_settings = store_settings
+        self._seeds = seeds
+        self._decisions = decisions
+        self._monotonic = monotonic
+        self._pending: _PendingBundle | None = None
+        self._wanted_at = float("-inf")
+        self._greeted_by_members = False
+        self._on_listed: Callable[[frozenset[str]], None] = lambda addresses: None
+        membership.subscribe(self._member_changed)
+
+    def attach(self, gossip: Gossip, on_listed: Callable[[frozenset[str]], None]) -> None:
+        """Set the gossip, and who learns of addresses that the platform lists as leaving."""
+        self._gossip = gossip
+        self._on_listed = on_listed
+
+    @property
+    def gossip(self) -> Gossip:
+        """Return the gossip, which ``attach`` has set."""
+        assert self._gossip is not None
+        return self._gossip
+
+    # Periodic work; each method runs as one task.
+
+    async def run_heartbeats(self) -> None:
+        """Send heartbeats, dial members and look for silent ones."""
+        while True:
+            factor = self.gossip.heartbeat_factor()
+            self.membership.suspect_factor = factor
+            self.gossip.link_members()
+            self.gossip.send_heartbeats()
+            self.membership.sweep(self._monotonic(), self._listed_names())
+            self.membership.forget_ended(ENDED_MEMBERS_KEPT)
+            await asyncio.sleep(self._peer_settings.heartbeat_ms / 1000 * factor)
+
+    async def run_steps(self) -> None:
+        """Advance the admission rights."""
+        while True:
+            self.steward.step()
+            await asyncio.sleep(STEP_SECONDS)
+
+    async def run_digests(self) -> None:
+        """Exchange digests with other failure domains; dial seeds until they are known."""
+        while True:
+            catalogue = self._keeper.catalogue
+            if catalogue is None or not self._greeted_by_members:
+                for seed in self._seeds:
+                    self.mesh.ensure_link(seed)
+            if catalogue is not None:
+                self.gossip.link_domains(sorted(catalogue.region_by_failure_domain))
+            self.gossip.send_digests()
+            factor = self.gossip.digest_factor()
+            await asyncio.sleep(self._peer_settings.digest_ms / 1000 * factor)
+
+    async def run_instance_list(self) -> None:
+        """Read the platform's list if it is this instance's turn, and pass it to the members."""
+        while True:
+            if self.is_watcher() or self.gossip.listed is None:
+                listed = await self._store.list_instances()
+                if isinstance(listed, Ok):
+                    self.gossip.listed = listed.ok_value
+                    here = self._listed_here()
+                    self._on_listed(_leaving_addresses(here))
+                    self.mesh.broadcast(self.mesh.links_in_domain(), InstanceList(here))
+            await asyncio.sleep(self._store_settings.instance_list_seconds)
+
+    async def run_registration(self) -> None:
+        """Register this run in the store, then read who else is registered.
+
+        Claims begin after that: of two instances that start at once, the later to register sees the
+        other. While the store is out, an instance that a running member greeted may claim too,
+        since that member tells newcomers of each other.
+        """
+        while not await self._register():
+            if self._greeted_by_members:
+                self.steward.may_claim = True
+            await asyncio.sleep(STORE_RETRY_SECONDS)
+        self.steward.may_claim = True
+
+    async def _register(self) -> bool:
+        prefix = f"{REGISTRATION_PREFIX}{self.own.failure_domain}/"
+        lease = await self._store.grant_lease(REGISTRATION_SECONDS)
+        if isinstance(lease, Err):
+            return False
+        key = prefix + self.own.incarnation
+        value = msgspec.json.encode(self.own)
+        written = await self._store.put_if(key, value, 0, lease.ok_value)
+        if isinstance(written, Err):
+            current = await self._store.get(key)
+            if isinstance(current, Err) or current.ok_value.value != value:
+                return False
+        keys = await self._store.list_keys(prefix)
+        if isinstance(keys, Err):
+            return False
+        for other in keys.ok_value:
+            entry = await self._store.get(other)
+            if isinstance(entry, Err):
+                return False
+            if entry.ok_value.revision:
+                self._meet(msgspec.json.decode(entry.ok_value.value, type=Identity))
+        return True
+
+    def is_watcher(self) -> bool:
+        """Tell whether this instance is one of the few here that ask the store."""
+        alive = [m.identity.incarnation for m in self.membership.alive() if not m.leaving]
+        candidates = {self.own.incarnation, *alive}
+        for _ in range(WATCHERS_PER_DOMAIN):
+            chosen = preferred_holder("store watcher", candidates)
+            if chosen == self.own.incarnation:
+                return True
+            candidates.discard(chosen or "")
+        return False
+
+    # Events of the own process.
+
+    def catalogue_changed(self) -> None:
+        """Tell members and other failure domains at once that a version is in force."""
+        self.gossip.send_heartbeats()
+        self.gossip.send_digests()
+
+    def crash_recorded(self) -> None:
+        """Tell others which requests crash targets."""
+        report = CrashReport(self.own.incarnation, self._poison.own_counts())
+        self.mesh.broadcast(self.mesh.link_by_incarnation.values(), report)
+
+    def paused(self, now: float) -> None:
+        """Drop what was only valid while this process ran."""
+        self._rights.drop_all()
+        self.membership.resume_after_pause(now)
+
+    def leave(self) -> None:
+        """Begin to leave: hand over all rights, and tell the others."""
+        self.is_leaving = True
+        self.steward.leaving = True
+        self.gossip.send_heartbeats()
+        self.gossip.send_digests()
+
+    def say_goodbye(self) -> None:
+        """Tell members that this run ends and holds nothing."""
+        self._rights.drop_all()
+        self.mesh.broadcast(self.mesh.link_by_incarnation.values(), Goodbye("stopping"))
+
+    # Events of the mesh.
+
+    def link_up(self, link: PeerLink) -> None:
+        """Greet the other side."""
+        if link.peer.failure_domain != self.own.failure_domain:
+            link.send(self.gossip.own_digest())
+            return
+        if self._meet(link.peer) is None:
+            link.abort()
+            return
+        for message in self.gossip.greeting():
+            link.send(message)
+        for digest in self.gossip.known_digests():
+            link.send(digest)
+        self.steward.greet(link)
+
+    def link_down(self, link: PeerLink) -> None:
+        """Dial again at once: a refused connection proves that the member ended."""
+        if link.peer.failure_domain == self.own.failure_domain:
+            member = self.membership.member_by_incarnation.get(link.peer.incarnation)
+            if member is not None and member.state not in ENDED_STATES:
+                self.mesh.ensure_link(Address.parse(link.peer.peer_address))
+
+    def refused(self, address: Address, known: frozenset[str]) -> None:
+        """Conclude that the members known at an address before it was dialled have ended."""
+        text = str(address)
+        for member in self.membership.running():
+            identity = member.identity
+            if identity.peer_address == text and identity.incarnation in known:
+                self.membership.conclude(identity.incarnation, Evidence.REFUSED)
+
+    def known_incarnations(self) -> frozenset[str]:
+        """Return the incarnations of members known now."""
+        return frozenset(self.membership.member_by_incarnation)
+
+    def received(self, link: PeerLink, message: Message) -> None:
+        """Pass a message to its handler; messages of ended members are ignored."""
+        if link.peer.failure_domain == self.own.failure_domain:
+            member = self.membership.member_by_incarnation.get(link.peer.incarnation)
+            if member is None or member.state in ENDED_STATES:
+                return
+        elif not isinstance(message, _CROSS_DOMAIN):
+            logger.warning("%s sent %s across failure domains", link.peer.instance, type(message))
+            return
+        handler = _handler_by_type.get(type(message))
+        if handler is not None:
+            handler(self, link, message)
+
+    # Handlers.
+
+    @_on(Heartbeat)
+    def _on_heartbeat(self, link: PeerLink, message: Heartbeat) -> None:
+        self.membership.heard(link.peer.incarnation, message, self._monotonic())
+        self._want_catalogue(link, message.version)
+
+    @_on(Members)
+    def _on_members(self, link: PeerLink, message: Members) -> None:
+        self._greeted_by_members = True
+        for identity in message.identities:
+            if identity.failure_domain == self.own.failure_domain:
+                self._meet(identity)
+        self.gossip.link_members()
+
+    @_on(Holds)
+    def _on_holds(self, link: PeerLink, message: Holds) -> None:
+        self.steward.on_holds(link.peer.incarnation, message)
+
+    @_on(ClaimRequest)
+    def _on_claim_request(self, link: PeerLink, message: ClaimRequest) -> None:
+        self.steward.on_claim(link, message)
+
+    @_on(ClaimReply)
+    def _on_claim_reply(self, link: PeerLink, message: ClaimReply) -> None:
+        self.steward.on_claim_reply(link.peer.incarnation, message)
+
+    @_on(HandOver)
+    def _on_hand_over(self, link: PeerLink, message: HandOver) -> None:
+        self.steward.on_hand_over(link.peer.incarnation, message)
+
+    @_on(InstanceList)
+    def _on_instance_list(self, link: PeerLink, message: InstanceList) -> None:
+        domain = self.own.failure_domain
+        elsewhere = [x for x in self.gossip.listed or [] if x.failure_domain != domain]
+        self.gossip.listed = [*message.instances, *elsewhere]
+        self._on_listed(_leaving_addresses(message.instances))
+
+    @_on(Goodbye)
+    def _on_goodbye(self, link: PeerLink, message: Goodbye) -> None:
+        self.membership.conclude(link.peer.incarnation, Evidence.GOODBYE)
+
+    @_on(DomainDigest)
+    def _on_digest(self, link: PeerLink, message: DomainDigest) -> None:
+        across = link.peer.failure_domain != self.own.failure_domain
+        self.gossip.relay(message, from_other_domain=across)
+        if across:
+            self._want_catalogue(link, message.version)
+
+    @_on(CrashReport)
+    def _on_crash_report(self, link: PeerLink, message: CrashReport) -> None:
+        if message.origin == self.own.incarnation:
+            return
+        if self._poison.merge_report(message.origin, message.count_by_fingerprint):
+            others = [x for x in self.mesh.link_by_incarnation.values() if x is not link]
+            self.mesh.broadcast(others, message)
+
+    @_on(CatalogueWanted)
+    def _on_catalogue_wanted(self, link: PeerLink, message: CatalogueWanted) -> None:
+        bundle = self._keeper.bundle
+        if bundle is None or bundle.manifest.version <= message.above:
+            return
+        link.send(CatalogueManifest(bundle.manifest))
+        have = set(message.have)
+        for digest, content in bundle.part_by_digest.items():
+            if digest not in have:
+                link.send(CataloguePart(digest, content))
+
+    @_on(CatalogueManifest)
+    def _on_catalogue_manifest(self, link: PeerLink, message: CatalogueManifest) -> None:
+        if message.manifest.version <= self._keeper.version:
+            return
+        missing = set(self._keeper.missing_parts(message.manifest))
+        self._pending = _PendingBundle(message.manifest, missing, {})
+        self._complete_pending()
+
+    @_on(CataloguePart)
+    def _on_catalogue_part(self, link: PeerLink, message: CataloguePart) -> None:
+        pending = self._pending
+        if pending is None or message.digest not in pending.missing:
+            return
+        if digest_of(message.content) == message.digest:
+            pending.missing.discard(message.digest)
+            pending.content_by_digest[message.digest] = message.content
+        self._complete_pending()
+
+    # Helpers.
+
+    def _complete_pending(self) -> None:
+        pending = self._pending
+        if pending is None or pending.missing:
+            return
+        self._pending = None
+        bundle: Bundle = self._keeper.complete(pending.manifest, pending.content_by_digest)
+        activated = self._keeper.activate(bundle)
+        if isinstance(activated, Err):
+            logger.error("a peer's catalogue was refused: %s", activated.err_value.faults)
+
+    def _want_catalogue(self, link: PeerLink, version: int) -> None:
+        now = self._monotonic()
+        if version <= self._keeper.version or now - self._wanted_at < WANTED_INTERVAL_SECONDS:
+            return
+        self._wanted_at = now
+        link.send(CatalogueWanted(self._keeper.version, self._keeper.part_digests()))
+
+    def _meet(self, identity: Identity) -> Member | None:
+        if identity.incarnation == self.own.incarnation:
+            return None
+        known = identity.incarnation in self.membership.member_by_incarnation
+        member = self.membership.meet(identity, self._monotonic())
+        if member is not None and not known and self._gossip is not None:
+            self.gossip.announce_members()
+        return member
+
+    def _member_changed(self, member: Member, evidence: Evidence) -> None:
+        incarnation = member.identity.incarnation
+        self._decisions.write(
+            "member",
+            instance=member.identity.instance,
+            incarnation=incarnation,
+            state=member.state.value,
+            evidence=evidence.value,
+        )
+        if member.state in ENDED_STATES:
+            self._rights.member_ended(incarnation)
+            link = self.mesh.link_by_incarnation.get(incarnation)
+            if link is not None and member.state is not MemberState.LEFT:
+                link.abort()
+
+    def _listed_names(self) -> frozenset[str] | None:
+        listed = self.gossip.listed
+        return None if listed is None else frozenset(x.name for x in listed)
+
+    def _listed_here(self) -> list[ListedInstance]:
+        domain = self.own.failure_domain
+        return [x for x in self.gossip.listed or [] if x.failure_domain == domain]
+
+
+def _leaving_addresses(listed: list[ListedInstance]) -> frozenset[str]:
+    return frozenset(x.address for x in listed if x.leaving)
+
+
+class _PendingBundle:
+    """A catalogue of which parts are still to come from a peer."""
+
+    def __init__(
+        self, manifest: Manifest, missing: set[str], content_by_digest: dict[str, bytes]
+    ) -> None:
+        self.manifest = manifest
+        self.missing = missing
+        self.content_by_digest = content_by_digest
+
+
+_CROSS_DOMAIN = (
+    DomainDigest,
+    CatalogueWanted,
+    CatalogueManifest,
+    CataloguePart,
+    CrashReport,
+    Goodbye,
+)
--- /dev/null
+++ b/src/cassiashore/_internal/entry/node.py
@@ -0,0 +1,419 @@
+"""Composition root of an instance: builds the parts, connects them, starts and stops them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from prometheus_client import CollectorRegistry
+from result import Ok, Result
+
+from cassiashore._internal.admission.pause import PauseGuard
+from cassiashore._internal.admission.rights import AdmissionRights
+from cassiashore._internal.admission.shift import LinkBudgets, ShiftLimiter
+from cassiashore._internal.admission.slots import ServiceSlots
+from cassiashore._internal.catalogue.bundle import Bundle, Manifest
+from cassiashore._internal.catalogue.follower import CatalogueFollower
+from cassiashore._internal.catalogue.index import Catalogue
+from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.catalogue.publisher import PublishFault, publish, read_manifest
+from cassiashore._internal.catalogue.schema import CatalogueSpec
+from cassiashore._internal.dns.server import DnsServer
+from cassiashore._internal.entry.cluster import Cluster
+from cassiashore._internal.entry.prober import TargetProber
+from cassiashore._internal.entry.status import describe
+from cassiashore._internal.http.api import build_api
+from cassiashore._internal.http.guard import guarded_protocol
+from cassiashore._internal.http.server import HttpServer
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.incarnation import new_incarnation
+from cassiashore._internal.observability.logs import DecisionLog, LogPipeline
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.peers.gossip import Gossip, OwnState
+from cassiashore._internal.peers.membership import Membership
+from cassiashore._internal.peers.messages import Identity, ServiceLoad
+from cassiashore._internal.proxy.handler import PATH_PREFIX, ProxyHandler
+from cassiashore._internal.proxy.runner import RequestRunner, ServiceRuntime
+from cassiashore._internal.requests.claims import ClaimRegistrar
+from cassiashore._internal.requests.ledger import KeyLedger
+from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.requests.retry import RetryBudget
+from cassiashore._internal.routing.domains import DomainTable
+from cassiashore._internal.routing.finder import PlaceFinder
+from cassiashore._internal.routing.lookup import LookupAnswer, LookupService
+from cassiashore._internal.routing.policies import policy_by_name
+from cassiashore._internal.settings import EntrySettings, read_key
+from cassiashore._internal.store.client import StoreClient, StoreFault
+
+logger = logging.getLogger(__name__)
+
+LOAD_CACHE_SECONDS = 0.02
+STOP_POLL_SECONDS = 0.02
+LEAVE_NOTICE_SECONDS = 0.5
+DEFAULT_STOP_SECONDS = 30.0
+DEFAULT_POLICY = "adaptive"
+
+
+class EntryNode:
+    """One instance. ``start`` brings it up whole or raises; ``stop`` shuts it down gracefully."""
+
+    def __init__(self, settings: EntrySettings, logs: LogPipeline) -> None:
+        """Build all parts; raise ``InvalidFileError`` when a key file cannot be used."""
+        peer_key = read_key(settings.peer_key_file, "peer_key_file")
+        operator_key = read_key(settings.operator_key_file, "operator_key_file")
+        self.settings = settings
+        self.own = Identity(
+            settings.instance,
+            new_incarnation(),
+            settings.failure_domain,
+            settings.listen,
+            settings.peer_listen,
+        )
+        self.metrics = Metrics()
+        self._logs = logs
+        self._started_at = time.monotonic()
+        self._rng = random.Random(self.own.incarnation)
+        self._decisions = DecisionLog()
+        self._loads: list[ServiceLoad] = []
+        self._loads_at = float("-inf")
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_stopping = False
+        self.is_broken = False
+        self.stop_requested = asyncio.Event()
+        self._build_state(settings)
+        self._build_cluster(settings, peer_key)
+        self._build_data_path(settings, peer_key, operator_key)
+        self._connect()
+
+    # Construction.
+
+    def _build_state(self, settings: EntrySettings) -> None:
+        self.keeper = CatalogueKeeper()
+        self.guard = PauseGuard(settings.peers.pause_ms / 1000)
+        self.rights = AdmissionRights(self.own.incarnation, self._in_flight_of)
+        self.membership = Membership(self.own, settings.peers.suspect_ms / 1000)
+        self.domains = DomainTable(settings.failure_domain)
+        self.shift = ShiftLimiter(self.rights, settings.failure_domain, time.monotonic)
+        self.links = LinkBudgets(time.monotonic)
+        self.poison = PoisonRegistry()
+        store_timeout = settings.store.timeout_ms / 1000
+        self.store = StoreClient(Address.parse(settings.store.address), store_timeout)
+
+    def _build_cluster(self, settings: EntrySettings, peer_key: bytes) -> None:
+        self.cluster = Cluster(
+            self.own,
+            peer_key,
+            self.membership,
+            self.keeper,
+            self.rights,
+            self.poison,
+            self.store,
+            settings.peers,
+            settings.store,
+            [Address.parse(seed) for seed in settings.seeds],
+            self._decisions,
+            time.monotonic,
+        )
+        gossip = Gossip(
+            self.membership,
+            self.domains,
+            self.cluster.mesh,
+            self.own_state,
+            time.monotonic,
+            self._rng,
+        )
+        self.cluster.attach(gossip, self._addresses_leaving)
+        self.follower = CatalogueFollower(
+            self.store,
+            self.keeper,
+            settings.store.watch_seconds,
+            self.cluster.is_watcher,
+            self._rng,
+        )
+
+    def _build_data_path(
+        self, settings: EntrySettings, peer_key: bytes, operator_key: bytes
+    ) -> None:
+        requests = settings.requests
+        finder = PlaceFinder(self.own, self.membership, self.domains, time.monotonic, self._rng)
+        self.runner = RequestRunner(
+            self.own,
+            finder,
+            self.shift,
+            self.links,
+            self.poison,
+            self._decisions,
+            self.metrics,
+            peer_key,
+        )
+        self.lookups = LookupService(
+            self.own, self.own_state, self.membership, self.domains, time.monotonic, self._rng
+        )
+        self.ledger = KeyLedger(self.key_slot, requests.key_slots_kept, requests.max_keys)
+        claims = ClaimRegistrar(self.store, self.own.incarnation, requests.claims_per_second)
+        self.proxy = ProxyHandler(
+            self.own,
+            self.keeper,
+            self.runner,
+            self.ledger,
+            claims,
+            finder,
+            self.lookups,
+            self.metrics,
+            peer_key,
+            requests.body_idle_seconds,
+            self.is_ready,
+            self.key_slot,
+        )
+        self._api = build_api(self, operator_key)
+        protocol = guarded_protocol(
+            requests.max_header_bytes, requests.header_seconds, requests.max_connections
+        )
+        self._http = HttpServer(self._dispatch, Address.parse(settings.listen), protocol)
+        self._dns = DnsServer(self.look_up_dns, self.is_ready)
+        self._prober = TargetProber(self.runner.runtime_by_service, self.rights)
+
+    def _connect(self) -> None:
+        self.guard.on_pause(self._paused)
+        self.poison.on_crash = self.cluster.crash_recorded
+        self.keeper.subscribe(self._apply_catalogue)
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Listen and start all tasks; raise ``OSError`` when an address is taken."""
+        await self._api.start()  # type: ignore[no-untyped-call]
+        await self.cluster.mesh.listen(Address.parse(self.settings.peer_listen))
+        await self._http.start()
+        if self.settings.dns_listen is not None:
+            await self._dns.start(Address.parse(self.settings.dns_listen))
+        for work in (
+            self.guard.run(),
+            self.follower.run(),
+            self.cluster.run_heartbeats(),
+            self.cluster.run_steps(),
+            self.cluster.run_digests(),
+            self.cluster.run_instance_list(),
+            self.cluster.run_registration(),
+            self._prober.run(),
+        ):
+            self._spawn(work)
+        logger.info("instance %s (%s) started", self.own.instance, self.own.incarnation)
+
+    async def stop(self, seconds: float = DEFAULT_STOP_SECONDS) -> None:
+        """Leave: take no new rights, let requests in flight end, then close everything.
+
+        Requests that still arrive are passed on to other instances. After ``seconds`` what still
+        runs is cut off, and a log line says how much that was.
+        """
+        deadline = time.monotonic() + seconds
+        self._is_stopping = True
+        self.cluster.leave()
+        await asyncio.sleep(min(LEAVE_NOTICE_SECONDS, seconds))
+        while time.monotonic() < deadline:
+            self.cluster.steward.step()
+            if self.proxy.in_flight == 0 and not self._may_hand_over():
+                break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        if self.proxy.in_flight:
+            logger.warning("stopping cuts off %d requests", self.proxy.in_flight)
+        self.cluster.say_goodbye()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._dns.stop()
+        await self._http.stop()
+        await self.cluster.mesh.close()
+        self.runner.close()
+        self.store.close()
+        logger.info("instance %s stopped", self.own.instance)
+
+    def _may_hand_over(self) -> bool:
+        alive = [m for m in self.membership.alive() if m.ready and not m.leaving]
+        return bool(alive) and bool(self.rights.held())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._task_ended)
+        self._tasks.append(task)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        """Ask for the end of the process when a task fails: that is a broken invariant."""
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("a task failed", exc_info=task.exception())
+            self.is_broken = True
+            self.stop_requested.set()
+
+    # What others ask of the instance.
+
+    def key_slot(self) -> int:
+        """Return the current time slot of request keys."""
+        elapsed = time.monotonic() - self._started_at
+        return int(elapsed / self.settings.requests.key_slot_seconds)
+
+    def is_ready(self) -> bool:
+        """Tell whether a catalogue is in force."""
+        return self.keeper.catalogue is not None
+
+    def own_state(self) -> OwnState:
+        """Describe this instance for heartbeats and look-ups."""
+        catalogue = self.keeper.catalogue
+        draining = catalogue is not None and catalogue.instance_is_draining(
+            self.own.instance, self.own.failure_domain
+        )
+        return OwnState(
+            leaving=self._is_stopping or draining,
+            ready=self.is_ready(),
+            version=self.keeper.version,
+            key_slot=self.key_slot(),
+            holds_revision=self.rights.revision,
+            loads=self._current_loads(),
+        )
+
+    def look_up(self, service: str, client: str) -> LookupAnswer | None:
+        """Answer a look-up over HTTP."""
+        self.metrics.lookups.labels("http").inc()
+        return self._look_up(service, client)
+
+    def look_up_dns(self, service: str, client: str) -> LookupAnswer | None:
+        """Answer a look-up over DNS."""
+        self.metrics.lookups.labels("dns").inc()
+        return self._look_up(service, client)
+
+    def _look_up(self, service: str, client: str) -> LookupAnswer | None:
+        answer = self.lookups.answer(service, client)
+        if answer is not None:
+            self._decisions.write(
+                "lookup",
+                service=service,
+                client=client,
+                version=answer.version,
+                region=answer.region,
+                reason=answer.reason,
+                instances=[x.instance for x in answer.instances],
+            )
+        return answer
+
+    def bundle(self) -> Bundle | None:
+        """Return the catalogue in force."""
+        return self.keeper.bundle
+
+    async def publish(
+        self, spec: CatalogueSpec, base: int, change_id: str, author: str
+    ) -> Result[Manifest, PublishFault]:
+        """Publish an operator's change."""
+        outcome = await publish(self.store, spec, base, change_id, author)
+        self._decisions.write(
+            "publish",
+            base=base,
+            change=change_id,
+            author=author,
+            verdict="accepted" if isinstance(outcome, Ok) else outcome.err_value.verdict.value,
+        )
+        return outcome
+
+    async def history(self) -> Result[Manifest | None, StoreFault]:
+        """Read the manifest that stands in the store."""
+        read = await read_manifest(self.store)
+        return read.map(lambda pair: pair[0])
+
+    def metrics_registry(self) -> CollectorRegistry:
+        """Bring the gauges up to date and return the registry."""
+        metrics = self.metrics
+        metrics.version.set(self.keeper.version)
+        metrics.store_calls.set(self.store.calls)
+        metrics.control_bytes.set(self.cluster.mesh.bytes_out())
+        metrics.control_messages.set(self.cluster.mesh.messages_out())
+        metrics.log_lines_dropped.set(self._logs.handler.dropped)
+        for load in self._current_loads():
+            metrics.slots.labels(load.service, "free").set(load.free)
+            metrics.slots.labels(load.service, "total").set(load.total)
+        return metrics.registry
+
+    def status(self) -> dict[str, Any]:
+        """Describe the instance and what it knows of the others, for operators."""
+        return describe(self)
+
+    # Reactions.
+
+    async def _dispatch(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] == "http" and scope["path"].startswith(PATH_PREFIX):
+            await self.proxy(scope, receive, send)
+        else:
+            await self._api(scope, receive, send)
+
+    def _apply_catalogue(self, catalogue: Catalogue) -> None:
+        """Put a version in force in every part, in one turn of the event loop."""
+        self.runner.catalogue = catalogue
+        self.lookups.catalogue = catalogue
+        self.cluster.steward.update(catalogue)
+        self.shift.update(catalogue)
+        runtimes = self.runner.runtime_by_service
+        for name in [n for n in runtimes if n not in catalogue.service_by_name]:
+            del runtimes[name]
+        for name, service in catalogue.service_by_name.items():
+            runtime = runtimes.get(name)
+            factory = policy_by_name.get(service.policy, policy_by_name[DEFAULT_POLICY])
+            policy = factory(self._rng)
+            if runtime is None:
+                slots = ServiceSlots(
+                    self.rights, self.guard.check, time.monotonic, policy.choose_target
+                )
+                runtime = ServiceRuntime(slots, policy, RetryBudget(service.retry_share))
+                runtimes[name] = runtime
+            runtime.policy = policy
+            runtime.slots.choose = policy.choose_target
+            runtime.slots.update(service, catalogue, self.own.failure_domain)
+        self._loads_at = float("-inf")
+        self._set_link_rates(catalogue)
+        self._decisions.write("activate", version=catalogue.version)
+        self.cluster.catalogue_changed()
+
+    def _set_link_rates(self, catalogue: Catalogue) -> None:
+        own_region = catalogue.region_by_failure_domain.get(self.own.failure_domain)
+        held = set(self.rights.right_by_target)
+        held_slots = region_slots = 0
+        for service in catalogue.service_by_name.values():
+            for target in service.target_by_name.values():
+                if catalogue.region_by_failure_domain[target.failure_domain] != own_region:
+                    continue
+                region_slots += target.slots
+                held_slots += target.slots if target.key in held else 0
+        share = held_slots / region_slots if region_slots else 0.0
+        self.links.set_rate(catalogue.link_bytes_per_second, share)
+
+    def _addresses_leaving(self, addresses: frozenset[str]) -> None:
+        for runtime in self.runner.runtime_by_service.values():
+            for state in runtime.slots.state_by_target.values():
+                state.listed_leaving = str(state.target.address) in addresses
+
+    def _paused(self, seconds: float) -> None:
+        """Drop every right before anything is decided on what was known before a pause."""
+        self.metrics.pauses.inc()
+        self.cluster.paused(time.monotonic())
+        self._decisions.write("paused", seconds=round(seconds, 3))
+
+    def _in_flight_of(self, target_key: str) -> int:
+        service, _, _ = target_key.partition("/")
+        runtime = self.runner.runtime_by_service.get(service)
+        state = runtime.slots.state_by_target.get(target_key) if runtime else None
+        return state.in_flight if state else 0
+
+    def _current_loads(self) -> list[ServiceLoad]:
+        now = time.monotonic()
+        if now - self._loads_at < LOAD_CACHE_SECONDS:
+            return self._loads
+        self._loads_at = now
+        if self.keeper.catalogue is not None:
+            self._set_link_rates(self.keeper.catalogue)
+        loads = []
+        for name, runtime in sorted(self.runner.runtime_by_service.items()):
+            free, total = runtime.slots.totals()
+            latency_ms = round(runtime.slots.mean_latency() * 1000, 1)
+            loads.append(ServiceLoad(name, free, total, runtime.slots.queued, latency_ms))
+        self._loads = loads
+        return loads
--- /dev/null
+++ b/src/cassiashore/_internal/entry/prober.py
@@ -0,0 +1,98 @@
+"""Probes of targets' health endpoints.
+
+A probe is a hint: it lets an ejected target come back, with a slow start, and it carries the
+target's own word that it drains. Outcomes of real requests decide on ejection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+from result import Err
+
+from cassiashore._internal.admission.rights import AdmissionRights
+from cassiashore._internal.admission.slots import TargetState
+from cassiashore._internal.catalogue.index import Service
+from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.net.http_client import connect, request_head
+from cassiashore._internal.proxy.runner import ServiceRuntime
+
+logger = logging.getLogger(__name__)
+
+ROUND_SECONDS = 0.25
+PROBE_TIMEOUT_SECONDS = 1.0
+MAX_REPORT_BYTES = 16 * 1024
+
+
+class HealthReport(msgspec.Struct):
+    """What a target says of itself; other members are ignored."""
+
+    draining: bool = False
+
+
+class TargetProber:
+    """Probes the targets whose right is held, each at its service's interval."""
+
+    def __init__(
+        self, runtime_by_service: dict[str, ServiceRuntime], rights: AdmissionRights
+    ) -> None:
+        """Keep the services, which change with the catalogue."""
+        self._runtime_by_service = runtime_by_service
+        self._rights = rights
+        self._next_by_target: dict[str, float] = {}
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            now = time.monotonic()
+            for runtime in self._runtime_by_service.values():
+                service = runtime.slots.service
+                if service is not None:
+                    self._start_due(runtime, service, now)
+            await asyncio.sleep(ROUND_SECONDS)
+
+    def _start_due(self, runtime: ServiceRuntime, service: Service, now: float) -> None:
+        for key, state in runtime.slots.state_by_target.items():
+            if key not in self._rights.right_by_target:
+                self._next_by_target.pop(key, None)
+                continue
+            if now < self._next_by_target.get(key, 0.0):
+                continue
+            self._next_by_target[key] = now + service.probe_seconds
+            task = asyncio.create_task(self._probe(runtime, service, state))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _probe(self, runtime: ServiceRuntime, service: Service, state: TargetState) -> None:
+        report = await _fetch_report(service, state)
+        if report is None:
+            return
+        if report.draining != state.leaving:
+            state.leaving = report.draining
+            if not report.draining:
+                state.health.start_slowly(time.monotonic())
+            runtime.slots.wake_waiters()
+
+
+async def _fetch_report(service: Service, state: TargetState) -> HealthReport | None:
+    """Ask a target over a connection of its own; None when it gives no usable answer."""
+    opened = await connect(state.target.address, PROBE_TIMEOUT_SECONDS)
+    if isinstance(opened, Err):
+        return None
+    connection = opened.ok_value
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            host = str(state.target.address).encode()
+            headers = [(b"host", host), (b"connection", b"close")]
+            connection.start_exchange(request_head("GET", service.health_path, headers))
+            await connection.response_head()
+            body = await connection.read_all(MAX_REPORT_BYTES)
+        return msgspec.json.decode(body, type=HealthReport)
+    except (TimeoutError, ConnectionLostError, msgspec.DecodeError):
+        return None
+    finally:
+        connection.close()
--- /dev/null
+++ b/src/cassiashore/_internal/entry/status.py
@@ -0,0 +1,106 @@
+"""What an instance tells operators about itself and the others."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from cassiashore._internal.peers.steward import describe_blocked
+
+if TYPE_CHECKING:
+    from cassiashore._internal.entry.node import EntryNode
+
+
+def describe(node: EntryNode) -> dict[str, Any]:
+    """Describe the version and its reach, headroom, drains and members, as plain JSON values."""
+    return {
+        "instance": node.own.instance,
+        "incarnation": node.own.incarnation,
+        "failure_domain": node.own.failure_domain,
+        "version": node.keeper.version,
+        "rejected": _rejected(node),
+        "ready": node.is_ready(),
+        "reach": _reach(node),
+        "headroom": _headroom(node),
+        "members": _members(node),
+        "drains": _drains(node),
+        "shift": {"allowance": node.shift.allowance(), "left": node.shift.left()},
+        "rights": _rights(node),
+        "keys_remembered": len(node.ledger),
+        "control_bytes": node.cluster.mesh.bytes_out(),
+        "control_messages": node.cluster.mesh.messages_out(),
+        "store_calls": node.store.calls,
+    }
+
+
+def _rejected(node: EntryNode) -> dict[str, Any] | None:
+    fault = node.keeper.rejected
+    return None if fault is None else {"version": fault.version, "faults": fault.faults}
+
+
+def _reach(node: EntryNode) -> dict[str, dict[str, Any]]:
+    """Tell the version in force in each failure domain, and how old that knowledge is."""
+    now = time.monotonic()
+    own = node.cluster.gossip.own_digest()
+    reach: dict[str, dict[str, Any]] = {
+        own.failure_domain: {"version": own.version, "age_seconds": 0.0}
+    }
+    catalogue = node.keeper.catalogue
+    for name in catalogue.region_by_failure_domain if catalogue else []:
+        view = node.domains.view_by_domain.get(name)
+        if name in reach:
+            continue
+        age = None if view is None else round(view.age(now), 3)
+        version = None if view is None else view.digest.version
+        reach[name] = {"version": version, "age_seconds": age}
+    return reach
+
+
+def _headroom(node: EntryNode) -> dict[str, dict[str, dict[str, int]]]:
+    """Give free slots and all slots of each service in each failure domain."""
+    digests = [node.cluster.gossip.own_digest()]
+    digests.extend(view.digest for view in node.domains.fresh(time.monotonic()))
+    return {
+        digest.failure_domain: {
+            load.service: {"free": load.free, "total": load.total, "queued": load.queued}
+            for load in digest.loads
+        }
+        for digest in digests
+    }
+
+
+def _members(node: EntryNode) -> list[dict[str, Any]]:
+    now = time.monotonic()
+    return [
+        {
+            "instance": member.identity.instance,
+            "state": member.state.value,
+            "version": member.version,
+            "silent_seconds": round(now - member.heard_at, 3),
+        }
+        for member in node.membership.member_by_incarnation.values()
+    ]
+
+
+def _drains(node: EntryNode) -> list[dict[str, Any]]:
+    """Tell how many requests still run on each draining target here, and the longest time left."""
+    drains = []
+    for runtime in node.runner.runtime_by_service.values():
+        service = runtime.slots.service
+        for key, state in runtime.slots.state_by_target.items():
+            if service is None or not state.is_going:
+                continue
+            seconds = service.max_deadline_seconds if state.in_flight else 0.0
+            drains.append({"target": key, "in_flight": state.in_flight, "seconds_left": seconds})
+    return drains
+
+
+def _rights(node: EntryNode) -> dict[str, Any]:
+    local = [
+        key for r in node.runner.runtime_by_service.values() for key in r.slots.state_by_target
+    ]
+    return {
+        "held": node.rights.held(),
+        "in_domain": len(local),
+        "note": describe_blocked(node.rights, node.membership, local),
+    }
--- /dev/null
+++ b/src/cassiashore/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server: guarding of connections, and the look-up and operator interface."""
--- /dev/null
+++ b/src/cassiashore/_internal/http/guard.py
@@ -0,0 +1,150 @@
+"""Server connections with limits that protect against hostile or broken callers.
+
+Builds on uvicorn's ``httptools`` protocol and adds a limit on the size of the head, a time limit
+for receiving it, a check for ambiguous message lengths, and a hook for lost connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, cast
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from cassiashore._internal.proxy.handler import CONNECTION_KEY
+
+_MAX_LENGTH_DIGITS = 15
+
+
+def _refusal(status: str, text: str) -> bytes:
+    return (
+        f"HTTP/1.1 {status}\r\ncontent-type: text/plain\r\nconnection: close\r\n"
+        f"cassiashore-outcome: not-run\r\ncontent-length: {len(text)}\r\n\r\n{text}"
+    ).encode("latin-1")
+
+
+HEAD_TOO_LARGE = _refusal("431 Request Header Fields Too Large", "the request head is too large")
+HEAD_TOO_SLOW = _refusal("408 Request Timeout", "the request head came too slowly")
+AMBIGUOUS_LENGTH = _refusal("400 Bad Request", "the length of the body is ambiguous")
+TOO_MANY_CONNECTIONS = _refusal("503 Service Unavailable", "too many connections")
+
+
+class GuardedProtocol(HttpToolsProtocol):
+    """One caller's connection. ``on_lost`` is called when it closes."""
+
+    max_header_bytes = 16_384
+    header_seconds = 5.0
+    max_connections = 4_096
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Set up the guard's state."""
+        super().__init__(*args, **kwargs)
+        self.on_lost: Callable[[], object] | None = None
+        self.is_lost = False
+        self._head_bytes = 0
+        self._in_head = True
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Start the time limit of the first head, unless there are too many connections."""
+        super().connection_made(transport)
+        if len(self.connections) > self.max_connections:
+            self._refuse(TOO_MANY_CONNECTIONS)
+            return
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell whoever serves a request of this connection."""
+        self.is_lost = True
+        self._stop_head_timer()
+        super().connection_lost(exc)
+        on_lost, self.on_lost = self.on_lost, None
+        if on_lost is not None:
+            on_lost()
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes of the head before parsing."""
+        if self.transport.is_closing():
+            return
+        if self._in_head:
+            if self._head_timer is None:
+                self._start_head_timer()
+            self._head_bytes += len(data)
+            within = self._head_bytes <= self.max_header_bytes
+            if not within and b"\r\n\r\n" not in data[: self.max_header_bytes]:
+                self._refuse(HEAD_TOO_LARGE)
+                return
+        super().data_received(data)
+
+    def on_message_begin(self) -> None:
+        """Begin a head."""
+        super().on_message_begin()
+        self._in_head = True
+
+    def on_headers_complete(self) -> None:
+        """End the head, and refuse a request whose length is ambiguous."""
+        self._in_head = False
+        self._head_bytes = 0
+        self._stop_head_timer()
+        if self._length_is_ambiguous():
+            self._refuse(AMBIGUOUS_LENGTH)
+            return
+        cast(dict[str, Any], self.scope)[CONNECTION_KEY] = self
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Ignore what follows a refused head."""
+        if self.cycle is not None and not self.transport.is_closing():
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ignore the end of a refused message, else begin to wait for the next head."""
+        if self.cycle is not None and not self.transport.is_closing():
+            super().on_message_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse malformed bytes; inside an answer that has begun, only close the connection."""
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            self.transport.abort()
+            return
+        self._refuse(_refusal("400 Bad Request", msg))
+
+    def _length_is_ambiguous(self) -> bool:
+        lengths = [value for name, value in self.headers if name == b"content-length"]
+        encodings = [value for name, value in self.headers if name == b"transfer-encoding"]
+        if len(lengths) > 1 or len(encodings) > 1 or (lengths and encodings):
+            return True
+        if encodings and encodings[0].lower() != b"chunked":
+            return True
+        return bool(lengths) and not (lengths[0].isdigit() and len(lengths[0]) < _MAX_LENGTH_DIGITS)
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self.loop.call_later(self.header_seconds, self._head_is_late)
+
+    def _stop_head_timer(self) -> None:
+        timer, self._head_timer = self._head_timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def _head_is_late(self) -> None:
+        self._head_timer = None
+        if self._in_head and not self.transport.is_closing():
+            self._refuse(HEAD_TOO_SLOW)
+
+    def _refuse(self, answer: bytes) -> None:
+        self.transport.write(answer)
+        self.transport.close()
+
+
+def guarded_protocol(
+    max_header_bytes: int, header_seconds: float, max_connections: int
+) -> type[GuardedProtocol]:
+    """Return a protocol class with limits of its own."""
+    limits = {
+        "max_header_bytes": max_header_bytes,
+        "header_seconds": header_seconds,
+        "max_connections": max_connections,
+    }
+    return type("LimitedProtocol", (GuardedProtocol,), limits)
--- /dev/null
+++ b/src/cassiashore/_internal/http/server.py
@@ -0,0 +1,68 @@
+"""HTTP server on uvicorn, inside a running event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Any
+
+import uvicorn
+
+from cassiashore._internal.models.address import Address
+
+LISTEN_BACKLOG = 2048
+KEEP_ALIVE_SECONDS = 30
+
+
+class HttpServer:
+    """Serves an ASGI application at an address."""
+
+    def __init__(
+        self, app: Any, address: Address, protocol: type[asyncio.Protocol] | str = "httptools"
+    ) -> None:
+        """Prepare a server that does not listen yet."""
+        config = uvicorn.Config(
+            app,
+            http=protocol,
+            interface="asgi3",
+            proxy_headers=False,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            backlog=LISTEN_BACKLOG,
+            ws="none",
+        )
+        self._address = address
+        self._server = _EmbeddedServer(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen; raise ``OSError`` when the address is taken."""
+        family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._address.host, self._address.port))
+        listener.listen(LISTEN_BACKLOG)
+        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Stop listening, let running requests end, and close the connections."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server that leaves signals to the process that embeds it."""
+
+    def capture_signals(self) -> Any:
+        """Capture none."""
+        return contextlib.nullcontext()
--- /dev/null
+++ b/src/cassiashore/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small value types shared by all parts."""
--- /dev/null
+++ b/src/cassiashore/_internal/models/incarnation.py
@@ -0,0 +1,22 @@
+"""Identities of one run of an instance."""
+
+from __future__ import annotations
+
+import secrets
+import time
+
+_TIME_HEX_DIGITS = 12
+_RANDOM_BYTES = 6
+
+
+def new_incarnation() -> str:
+    """Return an identifier for this run of an instance.
+
+    It is 24 hexadecimal digits: milliseconds since the epoch, then random digits. Two runs never
+    share one, and a later run of the same instance sorts after an earlier one.
+
+    >>> len(new_incarnation())
+    24
+    """
+    milliseconds = time.time_ns() // 1_000_000
+    return f"{milliseconds:0{_TIME_HEX_DIGITS}x}{secrets.token_hex(_RANDOM_BYTES)}"
--- /dev/null
+++ b/src/cassiashore/_internal/models/outcome.py
@@ -0,0 +1,65 @@
+"""Outcomes of an attempt to run a request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known about whether a request ran."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Why a request was refused or its outcome is unknown."""
+
+    NO_CAPACITY = "no-capacity"
+    SHIFT_CAP = "shift-cap"
+    TARGET_SHED = "target-shed"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_FAILED = "target-failed"
+    DEADLINE = "deadline"
+    PEER_UNREACHABLE = "peer-unreachable"
+    PEER_FAILED = "peer-failed"
+    OWNER_GONE = "owner-gone"
+    KEY_CLOSED = "key-closed"
+    KEY_EXPIRED = "key-expired"
+    KEY_MISMATCH = "key-mismatch"
+    KEY_IN_USE = "key-in-use"
+    KEY_MALFORMED = "key-malformed"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    KEYS_EXHAUSTED = "keys-exhausted"
+    STORE_UNREACHABLE = "store-unreachable"
+    CLAIM_BUDGET = "claim-budget"
+    POISONOUS = "poisonous"
+    RETRY_BUDGET = "retry-budget"
+    UNKNOWN_SERVICE = "unknown-service"
+    BODY_TOO_LARGE = "body-too-large"
+    NOT_READY = "not-ready"
+    HOP_REFUSED = "hop-refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An attempt that gave no answer.
+
+    ``outcome`` is ``NOT_RUN`` only when no byte of the request can have reached a target.
+    """
+
+    outcome: Outcome
+    reason: Reason
+    detail: str = ""
+
+    @classmethod
+    def not_run(cls, reason: Reason, detail: str = "") -> Failure:
+        """Build a failure after which the request is certain not to have run."""
+        return cls(Outcome.NOT_RUN, reason, detail)
+
+    @classmethod
+    def unknown(cls, reason: Reason, detail: str = "") -> Failure:
+        """Build a failure after which the request may have run."""
+        return cls(Outcome.UNKNOWN, reason, detail)
--- /dev/null
+++ b/src/cassiashore/_internal/net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client and connection pools."""
--- /dev/null
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -0,0 +1,286 @@
+"""HTTP/1.1 client connection that tells whether any request byte was sent.
+
+The parser is ``httptools``. One connection carries one exchange at a time. A response must declare
+its length or be chunked; one that ends with the connection cannot be shown to be whole and is
+refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+from result import Err, Ok, Result
+
+from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.models.address import Address
+
+READ_HIGH_WATER_BYTES = 256 * 1024
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+_BODILESS_STATUSES = frozenset({204, 304})
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """Status and headers of a response; header names are in lower case."""
+
+    status: int = 0
+    headers: Headers = field(default_factory=list)
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class HttpConnection(asyncio.Protocol):
+    """A client connection to an HTTP/1.1 server."""
+
+    def __init__(self) -> None:
+        """Create a connection that is not yet open; ``connect`` opens one."""
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._head = ResponseHead()
+        self._head_bytes = 0
+        self._head_waiter: asyncio.Future[ResponseHead] | None = None
+        self._chunks: deque[bytes] = deque()
+        self._buffered = 0
+        self._paused_reading = False
+        self._body_waiter: asyncio.Future[None] | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._head_done = False
+        self._complete = False
+        self._expects_body = True
+        self._error: str | None = None
+        self.bytes_sent = 0
+        self.exchanges = 0
+        self.idle_since = 0.0
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bytes outside an exchange close the connection."""
+        if self._head_waiter is None or self._complete:
+            self._fail("the server sent bytes that answer no request")
+            return
+        if not self._head_done:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES + len(data):
+                self._fail("the response head is too large")
+                return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"the response is malformed: {error}")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake up everything that waits on this connection."""
+        self._fail("the connection closed" if exc is None else f"the connection failed: {exc}")
+
+    def pause_writing(self) -> None:
+        """Make ``drain`` wait."""
+        if self._write_waiter is None:
+            self._write_waiter = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` go on."""
+        waiter, self._write_waiter = self._write_waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    # Callbacks of the parser.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a response header."""
+        self._head.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Deliver the head, unless it is an interim (1xx) one."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._head = ResponseHead()
+            return
+        self._head.status = status
+        if not self._length_is_declared():
+            self._fail("the response does not declare its length")
+            return
+        self._head_done = True
+        if self._head_waiter is not None and not self._head_waiter.done():
+            self._head_waiter.set_result(self._head)
+
+    def on_body(self, body: bytes) -> None:
+        """Queue a piece of the body and stop reading when too much is queued."""
+        self._chunks.append(body)
+        self._buffered += len(body)
+        if self._buffered > READ_HIGH_WATER_BYTES and not self._paused_reading:
+            self._paused_reading = True
+            if self._transport is not None:
+                self._transport.pause_reading()
+        self._wake_body()
+
+    def on_message_complete(self) -> None:
+        """Mark the response as whole; an interim response is none."""
+        if self._head_done:
+            self._complete = True
+            self._wake_body()
+
+    # Interface of the caller.
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the connection is open and holds no unread or unexpected bytes."""
+        transport = self._transport
+        return self._error is None and transport is not None and not transport.is_closing()
+
+    @property
+    def fully_read(self) -> bool:
+        """Tell whether the response is whole and all of its body was read."""
+        return self._complete and not self._chunks
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether the last exchange is over and another may follow."""
+        return self.usable and self._complete and self._parser.should_keep_alive()
+
+    def start_exchange(self, head: bytes, *, expects_body: bool = True) -> None:
+        """Send a request head; raise ``ConnectionLostError`` if the connection is closed.
+
+        ``expects_body`` is False for a HEAD request, whose response has no body.
+        """
+        if not self.usable:
+            raise ConnectionLostError(self._error or "the connection is closed")
+        self._parser = httptools.HttpResponseParser(self)
+        self._head = ResponseHead()
+        self._head_bytes = 0
+        self._head_done = False
+        self._complete = False
+        self._expects_body = expects_body
+        self._chunks.clear()
+        self._buffered = 0
+        self.bytes_sent = 0
+        self.exchanges += 1
+        self._head_waiter = self._loop.create_future()
+        self.write(head)
+
+    def write(self, data: bytes) -> None:
+        """Send request bytes; raise ``ConnectionLostError`` if the connection is closed."""
+        if not self.usable or self._transport is None:
+            raise ConnectionLostError(self._error or "the connection is closed")
+        self.bytes_sent += len(data)
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the send buffer has room."""
+        if self._write_waiter is not None:
+            await self._write_waiter
+        if self._error is not None and not self._head_done:
+            raise ConnectionLostError(self._error)
+
+    async def response_head(self) -> ResponseHead:
+        """Wait for the response head; raise ``ConnectionLostError`` if it cannot come."""
+        assert self._head_waiter is not None
+        if self._error is not None and not self._head_waiter.done():
+            raise ConnectionLostError(self._error)
+        return await self._head_waiter
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next piece of the body, or None once the body is whole.
+
+        Raise ``ConnectionLostError`` when the connection ends before the body does.
+        """
+        while not self._chunks:
+            if self._complete or not self._expects_body:
+                return None
+            if self._error is not None:
+                raise ConnectionLostError(self._error)
+            self._body_waiter = self._loop.create_future()
+            await self._body_waiter
+        return self._take_chunks()
+
+    async def read_all(self, limit: int) -> bytes:
+        """Return the whole body; raise ``ConnectionLostError`` if it exceeds ``limit`` bytes."""
+        pieces = []
+        size = 0
+        while (chunk := await self.read_chunk()) is not None:
+            size += len(chunk)
+            if size > limit:
+                self.close()
+                raise ConnectionLostError(f"the response body exceeds {limit} bytes")
+            pieces.append(chunk)
+        return b"".join(pieces)
+
+    def close(self) -> None:
+        """Close the connection at once; to the server this cancels a running request."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _take_chunks(self) -> bytes:
+        data = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._paused_reading and self._transport is not None:
+            self._paused_reading = False
+            self._transport.resume_reading()
+        return data
+
+    def _length_is_declared(self) -> bool:
+        if not self._expects_body or self._head.status in _BODILESS_STATUSES:
+            return True
+        encoding = self._head.get(b"transfer-encoding")
+        if encoding is not None:
+            return encoding.lower().endswith(b"chunked")
+        return self._head.get(b"content-length") is not None
+
+    def _wake_body(self) -> None:
+        waiter, self._body_waiter = self._body_waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        if self._error is None:
+            self._error = reason
+        if self._transport is not None:
+            self._transport.abort()
+        if self._head_waiter is not None and not self._head_waiter.done():
+            self._head_waiter.set_exception(ConnectionLostError(self._error))
+            self._head_waiter.exception()
+        self._wake_body()
+        self.resume_writing()
+
+
+async def connect(address: Address, timeout: float) -> Result[HttpConnection, str]:
+    """Open a connection within ``timeout`` seconds; the error says why it failed."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, connection = await loop.create_connection(HttpConnection, address.host, address.port)
+    except TimeoutError:
+        return Err(f"connecting to {address} took over {timeout:g} s")
+    except OSError as error:
+        return Err(f"connecting to {address} failed: {error.strerror or error}")
+    return Ok(connection)
+
+
+def request_head(method: str, path: str, headers: Headers) -> bytes:
+    """Format a request line with headers.
+
+    >>> request_head("GET", "/", [(b"host", b"a")])
+    b'GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n'
+    """
+    lines = [f"{method} {path} HTTP/1.1\r\n".encode("latin-1")]
+    for name, value in headers:
+        lines.append(b"%b: %b\r\n" % (name, value))
+    lines.append(b"\r\n")
+    return b"".join(lines)
--- /dev/null
+++ b/src/cassiashore/_internal/net/pool.py
@@ -0,0 +1,78 @@
+"""Pools of client connections, one per address, under a limit."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.net.http_client import HttpConnection, connect
+
+DEFAULT_IDLE_SECONDS = 4.0
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    At most ``limit`` connections are open at once, idle ones included.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        limit: int,
+        connect_timeout: float = 1.0,
+        idle_seconds: float = DEFAULT_IDLE_SECONDS,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create an empty pool."""
+        self.address = address
+        self.limit = limit
+        self.open = 0
+        self._connect_timeout = connect_timeout
+        self._idle_seconds = idle_seconds
+        self._monotonic = monotonic
+        self._idle: deque[HttpConnection] = deque()
+
+    async def acquire(self) -> Result[HttpConnection, str]:
+        """Return an idle connection that is still open, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable and self._is_fresh(connection):
+                return Ok(connection)
+            self.discard(connection)
+        if self.open >= self.limit:
+            return Err(f"{self.address} already has {self.limit} connections")
+        self.open += 1
+        opened = False
+        try:
+            outcome = await connect(self.address, self._connect_timeout)
+            opened = outcome.is_ok()
+        finally:
+            if not opened:
+                self.open -= 1
+        return outcome
+
+    def release(self, connection: HttpConnection) -> None:
+        """Take a connection back; one that cannot be used again is closed."""
+        if not connection.reusable:
+            self.discard(connection)
+            return
+        connection.idle_since = self._monotonic()
+        self._idle.append(connection)
+
+    def discard(self, connection: HttpConnection) -> None:
+        """Close a connection for good."""
+        self.open -= 1
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self.discard(self._idle.popleft())
+
+    def _is_fresh(self, connection: HttpConnection) -> bool:
+        return self._monotonic() - connection.idle_since < self._idle_seconds
--- /dev/null
+++ b/src/cassiashore/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/cassiashore/_internal/observability/metrics.py
@@ -0,0 +1,65 @@
+"""Metrics of one instance."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class Metrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        registry = CollectorRegistry()
+        self.registry = registry
+        self.requests = Counter(
+            "cassiashore_requests",
+            "Requests by service and by what was told to the caller",
+            ["service", "outcome", "reason"],
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "cassiashore_request_seconds",
+            "Time until the head of the answer",
+            ["service"],
+            buckets=_LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "cassiashore_attempts",
+            "Attempts by service, kind of place and result",
+            ["service", "place", "result"],
+            registry=registry,
+        )
+        self.retries = Counter(
+            "cassiashore_retries", "Retries taken from the budget", ["service"], registry=registry
+        )
+        self.moved = Counter(
+            "cassiashore_moved_requests", "Moved requests admitted here", registry=registry
+        )
+        self.lookups = Counter(
+            "cassiashore_lookups", "Look-ups by protocol", ["protocol"], registry=registry
+        )
+        self.version = Gauge(
+            "cassiashore_catalogue_version", "Catalogue version in force", registry=registry
+        )
+        self.slots = Gauge(
+            "cassiashore_slots", "Slots admitted to here", ["service", "state"], registry=registry
+        )
+        self.pauses = Counter(
+            "cassiashore_pauses", "Pauses after which all rights were dropped", registry=registry
+        )
+        self.control_bytes = Gauge(
+            "cassiashore_control_bytes", "Bytes sent to peers", registry=registry
+        )
+        self.control_messages = Gauge(
+            "cassiashore_control_messages", "Messages sent to peers", registry=registry
+        )
+        self.store_calls = Gauge(
+            "cassiashore_store_calls", "Calls made to the store", registry=registry
+        )
+        self.log_lines_dropped = Gauge(
+            "cassiashore_log_lines_dropped", "Log lines dropped", registry=registry
+        )
--- /dev/null
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -0,0 +1,202 @@
+"""Messages between instances, encoded as msgpack arrays."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cassiashore._internal.catalogue.bundle import Manifest
+from cassiashore._internal.store.client import ListedInstance
+
+PROTOCOL_VERSION = 1
+
+
+class _Message(msgspec.Struct, array_like=True, frozen=True):
+    """Base of all messages; the tag is the first element of the array."""
+
+
+class Identity(_Message, frozen=True):
+    """Names one run of an instance and where it can be reached."""
+
+    instance: str
+    incarnation: str
+    failure_domain: str
+    address: str
+    peer_address: str
+
+
+class Hello(_Message, frozen=True, tag=1):
+    """Opens a stream: who is speaking, and a nonce that the other side must sign."""
+
+    protocol: int
+    identity: Identity
+    nonce: bytes
+
+
+class Proof(_Message, frozen=True, tag=2):
+    """Signs the other side's nonce with the peer key."""
+
+    mac: bytes
+
+
+class ServiceLoad(_Message, frozen=True):
+    """Slots of one service that an instance admits to: free, in all, and requests waiting."""
+
+    service: str
+    free: int
+    total: int
+    queued: int
+    latency_ms: float
+
+
+class Heartbeat(_Message, frozen=True, tag=3):
+    """Tells that an instance is running, and its state.
+
+    ``key_slot`` is the current time slot of its request keys. ``holds_revision`` counts changes
+    of the targets that it holds. ``loads`` is None when nothing changed since the last heartbeat.
+    """
+
+    sequence: int
+    leaving: bool
+    ready: bool
+    version: int
+    key_slot: int
+    holds_revision: int
+    loads: list[ServiceLoad] | None
+
+
+class Holds(_Message, frozen=True, tag=4):
+    """Lists the targets whose admission right the sender holds, and those it claims."""
+
+    revision: int
+    held: list[str]
+    claimed: list[str]
+
+
+class ClaimRequest(_Message, frozen=True, tag=5):
+    """Asks a member to agree that the sender takes the admission right of targets."""
+
+    revision: int
+    targets: list[str]
+
+
+class ClaimReply(_Message, frozen=True, tag=6):
+    """Lists the targets of a claim to which the sender agrees, at the claim's revision."""
+
+    revision: int
+    agreed: list[str]
+
+
+class HandOver(_Message, frozen=True, tag=7):
+    """Passes the admission right of targets to the receiver; the sender no longer holds them."""
+
+    targets: list[str]
+
+
+class Members(_Message, frozen=True, tag=8):
+    """Lists members of the sender's failure domain that it knows to run."""
+
+    identities: list[Identity]
+
+
+class Gateway(_Message, frozen=True):
+    """An instance that other failure domains may send requests to."""
+
+    identity: Identity
+    key_slot: int
+    ready: bool
+    leaving: bool
+
+
+class DomainDigest(_Message, frozen=True, tag=9):
+    """Sums up a failure domain for the others.
+
+    ``version`` is the lowest catalogue version in force at its running instances.
+    ``age_ms`` is the time since the digest was made, so that receivers need no common clock.
+    """
+
+    failure_domain: str
+    version: int
+    age_ms: int
+    gateways: list[Gateway]
+    loads: list[ServiceLoad]
+
+
+class CatalogueWanted(_Message, frozen=True, tag=10):
+    """Asks for the newest catalogue above a version, except parts that the sender has."""
+
+    above: int
+    have: list[str]
+
+
+class CatalogueManifest(_Message, frozen=True, tag=11):
+    """Announces the manifest of a version; its missing parts follow."""
+
+    manifest: Manifest
+
+
+class CataloguePart(_Message, frozen=True, tag=12):
+    """Carries one part of a catalogue."""
+
+    digest: str
+    content: bytes
+
+
+class CrashReport(_Message, frozen=True, tag=13):
+    """Reports fingerprints of requests whose target connection was lost while they ran.
+
+    ``origin`` is the incarnation that saw the crashes; its counts only grow.
+    """
+
+    origin: str
+    count_by_fingerprint: dict[int, int]
+
+
+class InstanceList(_Message, frozen=True, tag=15):
+    """Passes on the platform's list of one failure domain, read by the sender from the store."""
+
+    instances: list[ListedInstance]
+
+
+class Goodbye(_Message, frozen=True, tag=14):
+    """Tells that the sender ends and holds nothing any more."""
+
+    reason: str
+
+
+Message = (
+    Hello
+    | Proof
+    | Heartbeat
+    | Holds
+    | ClaimRequest
+    | ClaimReply
+    | HandOver
+    | Members
+    | DomainDigest
+    | CatalogueWanted
+    | CatalogueManifest
+    | CataloguePart
+    | CrashReport
+    | InstanceList
+    | Goodbye
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message."""
+    return _encoder.encode(message)
+
+
+def decode(payload: bytes) -> Message:
+    """Decode a message; raise ``msgspec.DecodeError`` when it is not one.
+
+    >>> decode(encode(Goodbye("stop")))
+    Goodbye(reason='stop')
+    """
+    message: Message = _decoder.decode(payload)
+    return message
--- /dev/null
+++ b/src/cassiashore/_internal/peers/steward.py
@@ -0,0 +1,183 @@
+"""Keeps the admission rights of a failure domain with the members that should hold them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from cassiashore._internal.admission.rights import NOBODY, AdmissionRights, preferred_holder
+from cassiashore._internal.catalogue.index import Catalogue
+from cassiashore._internal.observability.logs import DecisionLog
+from cassiashore._internal.peers.link import PeerLink
+from cassiashore._internal.peers.membership import Membership, MemberState
+from cassiashore._internal.peers.mesh import Mesh
+from cassiashore._internal.peers.messages import (
+    ClaimReply,
+    ClaimRequest,
+    HandOver,
+    Holds,
+)
+
+logger = logging.getLogger(__name__)
+
+QUARANTINE_MARGIN_SECONDS = 0.1
+
+
+class RightsSteward:
+    """Claims, hands over and reports rights, one ``step`` at a time."""
+
+    def __init__(
+        self,
+        rights: AdmissionRights,
+        membership: Membership,
+        mesh: Mesh,
+        decisions: DecisionLog,
+        monotonic: Callable[[], float],
+    ) -> None:
+        """Act on nothing until a catalogue is set and claims are enabled."""
+        self.catalogue: Catalogue | None = None
+        self.may_claim = False
+        self.leaving = False
+        self._rights = rights
+        self._membership = membership
+        self._mesh = mesh
+        self._decisions = decisions
+        self._monotonic = monotonic
+        self._reported_revision = -1
+        self._deadline_by_target: dict[str, float] = {}
+
+    def update(self, catalogue: Catalogue) -> None:
+        """Apply a catalogue version."""
+        self.catalogue = catalogue
+        domain = self._membership.own.failure_domain
+        self._deadline_by_target = {
+            target.key: service.max_deadline_seconds
+            for service in catalogue.service_by_name.values()
+            for target in service.target_by_name.values()
+            if target.failure_domain == domain
+        }
+        self._rights.forget_missing(frozenset(self._deadline_by_target))
+
+    def step(self) -> None:
+        """Do what is due: start and finish hand-overs, claim, and report changes."""
+        if self.catalogue is None:
+            return
+        self._start_hand_overs()
+        for receiver, targets in self._rights.finish_hand_overs().items():
+            self._mesh.send(receiver, HandOver(targets))
+            self._decisions.write("hand_over", targets=targets, to=receiver)
+        self._claim()
+        self._settle()
+        self.report_changes()
+
+    def report_changes(self) -> None:
+        """Tell all members what is held and claimed, if that changed."""
+        if self._rights.revision == self._reported_revision:
+            return
+        self._reported_revision = self._rights.revision
+        self._mesh.broadcast(self._mesh.links_in_domain(), self._report())
+
+    def greet(self, link: PeerLink) -> None:
+        """Tell a newly linked member what is held and claimed."""
+        link.send(self._report())
+
+    def on_holds(self, member: str, message: Holds) -> None:
+        """Take in a member's report."""
+        self._rights.member_reports(member, message.revision, message.held, message.claimed)
+        self.report_changes()
+
+    def on_claim(self, link: PeerLink, message: ClaimRequest) -> None:
+        """Answer a claim; a change of own claims is reported first, so that it arrives first."""
+        claimant = link.peer.incarnation
+        agreed = self._rights.agree(claimant, message.revision, message.targets)
+        self.report_changes()
+        link.send(ClaimReply(message.revision, agreed))
+
+    def on_claim_reply(self, member: str, message: ClaimReply) -> None:
+        """Count an answer to a claim."""
+        self._rights.collect(member, message.revision, message.agreed)
+        self._settle()
+        self.report_changes()
+
+    def on_hand_over(self, member: str, message: HandOver) -> None:
+        """Take rights that a member passes on."""
+        taken = self._rights.receive_hand_over(member, message.targets, self._monotonic())
+        self._decisions.write("hold", targets=taken, why="hand-over")
+        self.report_changes()
+
+    def _eligible(self) -> list[str]:
+        own = self._membership.own
+        catalogue = self.catalogue
+        assert catalogue is not None
+        eligible = []
+        if not self.leaving and not catalogue.instance_is_draining(
+            own.instance, own.failure_domain
+        ):
+            eligible.append(own.incarnation)
+        for member in self._membership.alive():
+            identity = member.identity
+            linked = identity.incarnation in self._mesh.link_by_incarnation
+            draining = catalogue.instance_is_draining(identity.instance, own.failure_domain)
+            if linked and member.ready and not member.leaving and not draining:
+                eligible.append(identity.incarnation)
+        return eligible
+
+    def _start_hand_overs(self) -> None:
+        eligible = self._eligible()
+        own = self._membership.own.incarnation
+        for target in self._rights.held():
+            preferred = preferred_holder(target, eligible) or own
+            if preferred == own:
+                self._rights.cancel_hand_over(target)
+            else:
+                self._rights.start_hand_over(target, preferred)
+
+    def _claim(self) -> None:
+        running = [member.identity.incarnation for member in self._membership.running()]
+        if not self.may_claim or self.leaving or not self._rights.members_reported(running):
+            return
+        eligible = self._eligible()
+        own = self._membership.own.incarnation
+        wanted = [
+            target
+            for target in self._deadline_by_target
+            if preferred_holder(target, eligible) == own
+        ]
+        asked = self._rights.claim(wanted)
+        self.report_changes()
+        if asked:
+            request = ClaimRequest(self._rights.revision, asked)
+            for incarnation in running:
+                self._mesh.send(incarnation, request)
+
+    def _settle(self) -> None:
+        running = [member.identity.incarnation for member in self._membership.running()]
+        if not self.may_claim:
+            return
+        now = self._monotonic()
+
+        def usable_at(target: str) -> float:
+            deadline = self._deadline_by_target.get(target, 0.0)
+            return now + deadline + QUARANTINE_MARGIN_SECONDS
+
+        won = self._rights.settle(running, usable_at)
+        if won:
+            self._decisions.write("hold", targets=won, why="claim")
+
+    def _report(self) -> Holds:
+        rights = self._rights
+        return Holds(rights.revision, rights.held(), rights.claimed())
+
+
+def describe_blocked(rights: AdmissionRights, membership: Membership, targets: list[str]) -> str:
+    """Explain why targets are held by nobody known, for operators."""
+    silent = [
+        member.identity.instance
+        for member in membership.running()
+        if member.state is MemberState.SUSPECTED
+    ]
+    unheld = [t for t in targets if rights.holder_known(t) == NOBODY and t not in rights.held()]
+    if not unheld:
+        return "every target has a holder"
+    names = ", ".join(silent) or "nobody"
+    return f"{len(unheld)} targets have no holder; silent members: {names}"
--- /dev/null
+++ b/src/cassiashore/_internal/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Proxying of requests to targets and to other instances."""
--- /dev/null
+++ b/src/cassiashore/_internal/proxy/exchange.py
@@ -0,0 +1,109 @@
+"""A request as it comes in, and its body."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.catalogue.index import Service
+from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.models.outcome import Failure, Reason
+from cassiashore._internal.net.http_client import Headers
+from cassiashore._internal.proxy.hop import Hop
+
+PREFIX_BYTES = 64 * 1024
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class BodySource:
+    """The body of a request, of which the first part is kept.
+
+    A body that fits into the kept part can be sent more than once; a longer one streams and can be
+    sent only once.
+    """
+
+    def __init__(self, receive: Receive, max_bytes: int, idle_seconds: float) -> None:
+        """Read nothing yet; ``idle_seconds`` limits the wait for each piece."""
+        self.prefix = b""
+        self.whole = False
+        self.started = False
+        self._receive = receive
+        self._max_bytes = max_bytes
+        self._idle_seconds = idle_seconds
+        self._size = 0
+
+    async def read_prefix(self) -> Result[None, Failure]:
+        """Read up to the kept part, or the whole body if it is shorter."""
+        pieces = []
+        while not self.whole and self._size < PREFIX_BYTES:
+            piece = await self._next()
+            if isinstance(piece, Err):
+                return piece
+            pieces.append(piece.ok_value)
+        self.prefix = b"".join(pieces)
+        return Ok(None)
+
+    async def rest(self) -> bytes | None:
+        """Return the next piece after the kept part, or None at the end.
+
+        Raise ``ConnectionLostError`` when the caller is too slow, gone, or sends too much.
+        """
+        self.started = True
+        if self.whole:
+            return None
+        piece = await self._next()
+        if isinstance(piece, Err):
+            raise ConnectionLostError(piece.err_value.detail)
+        return piece.ok_value
+
+    async def _next(self) -> Result[bytes, Failure]:
+        try:
+            async with asyncio.timeout(self._idle_seconds):
+                message = await self._receive()
+        except TimeoutError:
+            return Err(Failure.not_run(Reason.DEADLINE, "the body stalled"))
+        if message["type"] == "http.disconnect":
+            return Err(Failure.not_run(Reason.DEADLINE, "the caller went away"))
+        data: bytes = message.get("body", b"")
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            detail = f"the body exceeds {self._max_bytes} bytes"
+            return Err(Failure.not_run(Reason.BODY_TOO_LARGE, detail))
+        self.whole = not message.get("more_body", False)
+        return Ok(data)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request on its way. ``deadline`` is in seconds of the monotonic clock."""
+
+    service: Service
+    method: str
+    path: str
+    headers: Headers
+    body: BodySource
+    content_length: bytes | None
+    deadline: float
+    client: str
+    home_region: str
+    home_domain: str
+    hop: Hop | None = None
+    fingerprint: int = 0
+
+    @property
+    def is_safe(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.method in SAFE_METHODS
+
+    @property
+    def may_resend(self) -> bool:
+        """Tell whether the body can be sent again."""
+        return self.body.whole or not self.body.started
--- /dev/null
+++ b/src/cassiashore/_internal/proxy/handler.py
@@ -0,0 +1,358 @@
+"""The ASGI face of the proxy: ``/services/NAME/...``."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.exceptions import AnswerAbortedError
+from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.proxy import headers as names
+from cassiashore._internal.proxy.answers import relay, send_failure, send_kept
+from cassiashore._internal.proxy.attempt import LiveAnswer
+from cassiashore._internal.proxy.exchange import BodySource, Exchange, Receive, Scope, Send
+from cassiashore._internal.proxy.hop import HopKind, read_hop
+from cassiashore._internal.proxy.runner import RequestRunner
+from cassiashore._internal.requests.claims import ClaimRegistrar, claim_key
+from cassiashore._internal.requests.keys import RequestKey
+from cassiashore._internal.requests.ledger import (
+    KeptAnswer,
+    KeyLedger,
+    KeyRecord,
+    Known,
+    known_failure,
+)
+from cassiashore._internal.requests.poison import fingerprint
+from cassiashore._internal.routing.finder import PlaceFinder
+from cassiashore._internal.routing.lookup import LookupService
+
+PATH_PREFIX = "/services/"
+CONNECTION_KEY = "cassiashore.connection"
+MAX_IDEMPOTENCY_KEY_BYTES = 256
+
+_Running = Awaitable[Result[LiveAnswer, Failure]]
+
+
+@dataclass(frozen=True, slots=True)
+class _KeyedRequest:
+    """A request with the ledger text of its key; ``claim`` is its store key if it has one."""
+
+    text: str
+    slot: int
+    claim: str | None = None
+
+
+class ProxyHandler:
+    """Takes requests of callers and of other instances."""
+
+    def __init__(
+        self,
+        own: Identity,
+        keeper: CatalogueKeeper,
+        runner: RequestRunner,
+        ledger: KeyLedger,
+        claims: ClaimRegistrar,
+        finder: PlaceFinder,
+        lookups: LookupService,
+        metrics: Metrics,
+        peer_key: bytes,
+        body_idle_seconds: float,
+        is_ready: Callable[[], bool],
+        key_slot: Callable[[], int],
+    ) -> None:
+        """Keep the parts."""
+        self.in_flight = 0
+        self._own = own
+        self._keeper = keeper
+        self._runner = runner
+        self._ledger = ledger
+        self._claims = claims
+        self._finder = finder
+        self._lookups = lookups
+        self._metrics = metrics
+        self._peer_key = peer_key
+        self._body_idle_seconds = body_idle_seconds
+        self._is_ready = is_ready
+        self._key_slot = key_slot
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        self.in_flight += 1
+        try:
+            opened = self._open(scope, receive)
+            if isinstance(opened, Err):
+                await self._refuse(send, _service_in(scope), opened.err_value)
+                return
+            await self._serve(opened.ok_value, scope, send)
+        finally:
+            self.in_flight -= 1
+
+    # Reading the request.
+
+    def _open(self, scope: Scope, receive: Receive) -> Result[Exchange, Failure]:
+        catalogue = self._keeper.catalogue
+        if catalogue is None or not self._is_ready():
+            return Err(Failure.not_run(Reason.NOT_READY, "no catalogue is in force here yet"))
+        name, rest = _split_path(scope)
+        service = catalogue.service_by_name.get(name)
+        if service is None:
+            return Err(Failure.not_run(Reason.UNKNOWN_SERVICE, f'no service is named "{name}"'))
+        headers = scope["headers"]
+        length = names.header(headers, b"content-length")
+        if length is not None and int(length) > service.max_body_bytes:
+            detail = f"the body exceeds {service.max_body_bytes} bytes"
+            return Err(Failure.not_run(Reason.BODY_TOO_LARGE, detail))
+        client = scope["client"][0] if scope.get("client") else ""
+        home_region, home_domain = self._lookups.home_of(client)
+        exchange = Exchange(
+            service=service,
+            method=scope["method"],
+            path=rest,
+            headers=headers,
+            body=BodySource(receive, service.max_body_bytes, self._body_idle_seconds),
+            content_length=length,
+            deadline=time.monotonic() + _deadline_seconds(headers, service.max_deadline_seconds),
+            client=client,
+            home_region=home_region,
+            home_domain=home_domain,
+        )
+        return self._read_hop(exchange)
+
+    def _read_hop(self, exchange: Exchange) -> Result[Exchange, Failure]:
+        value = names.header(exchange.headers, names.HOP)
+        if value is None:
+            return Ok(exchange)
+        hop = read_hop(value, self._own.incarnation, self._peer_key)
+        if hop is None:
+            return Err(Failure.not_run(Reason.HOP_REFUSED, "the hop was not signed for this run"))
+        exchange.hop = hop
+        exchange.client = hop.client
+        exchange.home_region = hop.home_region
+        exchange.home_domain = hop.home_domain
+        return Ok(exchange)
+
+    # Serving it.
+
+    async def _serve(self, exchange: Exchange, scope: Scope, send: Send) -> None:
+        read = await exchange.body.read_prefix()
+        if isinstance(read, Err):
+            await self._refuse(send, exchange.service.name, read.err_value)
+            return
+        exchange.fingerprint = fingerprint(
+            exchange.service.name, exchange.method, exchange.path, exchange.body.prefix
+        )
+        if exchange.hop is not None and exchange.hop.kind is HopKind.EXECUTE:
+            await self._serve_once(exchange, scope, send, self._runner.run_here(exchange))
+            return
+        if exchange.is_safe:
+            await self._serve_once(exchange, scope, send, self._runner.run(exchange))
+            return
+        key_text = names.header(exchange.headers, names.REQUEST_KEY)
+        if key_text is not None:
+            await self._serve_ticket(exchange, scope, send, key_text.decode("latin-1"))
+            return
+        idempotency_key = names.header(exchange.headers, names.IDEMPOTENCY_KEY)
+        if idempotency_key is not None:
+            await self._serve_claim(exchange, scope, send, idempotency_key.decode("latin-1"))
+            return
+        await self._serve_once(exchange, scope, send, self._runner.run(exchange))
+
+    async def _serve_once(
+        self, exchange: Exchange, scope: Scope, send: Send, running: _Running
+    ) -> None:
+        """Run a request that has no key; it is cancelled when its caller goes away."""
+        connection = scope.get(CONNECTION_KEY)
+        task = asyncio.current_task()
+        if connection is not None and task is not None:
+            connection.on_lost = task.cancel
+        try:
+            outcome = await running
+            await self._answer(exchange, send, outcome, keep=False)
+        except asyncio.CancelledError:
+            if connection is None or not connection.is_lost:
+                raise
+        finally:
+            if connection is not None:
+                connection.on_lost = None
+
+    async def _serve_ticket(self, exchange: Exchange, scope: Scope, send: Send, text: str) -> None:
+        key = RequestKey.parse(text)
+        if key is None:
+            failure = Failure.not_run(Reason.KEY_MALFORMED, "the request key is malformed")
+            await self._refuse(send, exchange.service.name, failure)
+        elif key.incarnation == self._own.incarnation:
+            await self._serve_own_key(exchange, send, _KeyedRequest(key.text, key.slot))
+        else:
+            await self._serve_foreign_key(exchange, scope, send, key.incarnation)
+
+    async def _serve_claim(
+        self, exchange: Exchange, scope: Scope, send: Send, idempotency_key: str
+    ) -> None:
+        name = exchange.service.name
+        if not 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY_BYTES:
+            failure = Failure.not_run(Reason.KEY_MALFORMED, "the idempotency key is too long")
+            await self._refuse(send, name, failure)
+            return
+        store_key = claim_key(name, idempotency_key)
+        keyed = _KeyedRequest(f"claim {store_key}", self._key_slot(), store_key)
+        owner = await self._serve_own_key(exchange, send, keyed)
+        if owner is not None:
+            await self._serve_foreign_key(exchange, scope, send, owner)
+
+    async def _serve_foreign_key(
+        self, exchange: Exchange, scope: Scope, send: Send, incarnation: str
+    ) -> None:
+        """Pass a request on to the run that owns its key; if that is gone, nobody runs it."""
+        name = exchange.service.name
+        owner = self._finder.identity_of(incarnation)
+        if exchange.hop is not None or owner is None:
+            failure = Failure.unknown(Reason.OWNER_GONE, "the instance that owns the key is gone")
+            await self._refuse(send, name, failure)
+            return
+        outcome = await self._runner.forward_to_owner(exchange, owner)
+        if isinstance(outcome, Err) and outcome.err_value.reason is Reason.PEER_UNREACHABLE:
+            detail = f"the owner of the key cannot be reached: {outcome.err_value.detail}"
+            outcome = Err(Failure.unknown(Reason.PEER_UNREACHABLE, detail))
+        await self._answer(exchange, send, outcome, keep=False)
+
+    async def _serve_own_key(
+        self, exchange: Exchange, send: Send, keyed: _KeyedRequest
+    ) -> str | None:
+        """Serve a request whose key belongs here; return another owner that a claim names."""
+        name = exchange.service.name
+        if keyed.claim is None:
+            begun = self._ledger.begin(keyed.text, keyed.slot, exchange.fingerprint)
+        else:
+            begun = self._ledger.begin_claim(keyed.text, exchange.fingerprint)
+        if isinstance(begun, Failure):
+            await self._refuse(send, name, begun)
+            return None
+        if isinstance(begun, Known):
+            await self._repeat(exchange, send, begun.record)
+            return None
+        record = begun.record
+        try:
+            if keyed.claim is not None:
+                owner = await self._settle_claim(send, exchange, keyed, record)
+                if owner != self._own.incarnation:
+                    return owner
+            await self._run_keyed(exchange, send, keyed.text, record)
+        finally:
+            if not record.done.is_set():
+                lost = Failure.unknown(Reason.TARGET_FAILED, "serving the request was interrupted")
+                self._ledger.failed(record, lost)
+        return None
+
+    async def _settle_claim(
+        self, send: Send, exchange: Exchange, keyed: _KeyedRequest, record: KeyRecord
+    ) -> str | None:
+        """Claim the key in the store; return its owner, or None after refusing the request."""
+        assert keyed.claim is not None
+        claimed = await self._claims.claim(keyed.claim, record.slot)
+        if isinstance(claimed, Err):
+            self._ledger.forget(keyed.text, record)
+            await self._refuse(send, exchange.service.name, claimed.err_value)
+            return None
+        claim = claimed.ok_value
+        if claim.owner != self._own.incarnation:
+            self._ledger.forget(keyed.text, record)
+            return claim.owner
+        if claim.slot < self._ledger.floor:
+            failure = Failure.unknown(Reason.KEY_EXPIRED, "the key is too old to be remembered")
+            self._ledger.failed(record, failure)
+            await self._refuse(send, exchange.service.name, failure)
+            return None
+        return claim.owner
+
+    async def _run_keyed(
+        self, exchange: Exchange, send: Send, text: str, record: KeyRecord
+    ) -> None:
+        self._ledger.dispatched(record)
+        outcome = await self._runner.run(exchange)
+        if isinstance(outcome, Err):
+            self._ledger.failed(record, outcome.err_value)
+            await self._refuse(send, exchange.service.name, outcome.err_value)
+            return
+        kept = await self._answer(exchange, send, outcome, keep=True)
+        if not record.done.is_set():
+            self._ledger.answered(text, record, kept)
+
+    async def _repeat(self, exchange: Exchange, send: Send, record: KeyRecord) -> None:
+        """Answer another copy of a request from what is known of its key."""
+        name = exchange.service.name
+        try:
+            async with asyncio.timeout(max(0.0, exchange.deadline - time.monotonic())):
+                await record.done.wait()
+        except TimeoutError:
+            failure = Failure.unknown(Reason.KEY_IN_USE, "the first copy is still running")
+            await self._refuse(send, name, failure)
+            return
+        failure_known = known_failure(record)
+        if failure_known is not None:
+            await self._refuse(send, name, failure_known)
+            return
+        assert record.answer is not None
+        self._count(name, Outcome.RAN.value, "repeated")
+        await send_kept(send, record.answer, self._own.instance)
+
+    # Answering.
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        send: Send,
+        outcome: Result[LiveAnswer, Failure],
+        *,
+        keep: bool,
+    ) -> KeptAnswer | None:
+        name = exchange.service.name
+        if isinstance(outcome, Err):
+            await self._refuse(send, name, outcome.err_value)
+            return None
+        live = outcome.ok_value
+        try:
+            kept = await relay(send, live, keep=keep)
+        except AnswerAbortedError as error:
+            self._count(name, Outcome.UNKNOWN.value, Reason.TARGET_FAILED.value)
+            if live.head_sent:
+                raise
+            failure = Failure.unknown(Reason.TARGET_FAILED, str(error))
+            await send_failure(send, failure, self._own.instance)
+            return None
+        self._count(name, Outcome.RAN.value, "answered")
+        return kept
+
+    async def _refuse(self, send: Send, service: str, failure: Failure) -> None:
+        self._count(service, failure.outcome.value, failure.reason.value)
+        await send_failure(send, failure, self._own.instance)
+
+    def _count(self, service: str, outcome: str, reason: str) -> None:
+        catalogue = self._keeper.catalogue
+        known = catalogue is not None and service in catalogue.service_by_name
+        self._metrics.requests.labels(service if known else "unknown", outcome, reason).inc()
+
+
+def _split_path(scope: Scope) -> tuple[str, str]:
+    raw = scope.get("raw_path") or scope["path"].encode()
+    path = raw.decode("latin-1").removeprefix(PATH_PREFIX)
+    name, _, rest = path.partition("/")
+    query = scope["query_string"].decode("latin-1")
+    return name, f"/{rest}?{query}" if query else f"/{rest}"
+
+
+def _service_in(scope: Scope) -> str:
+    return _split_path(scope)[0]
+
+
+def _deadline_seconds(headers: list[tuple[bytes, bytes]], most: float) -> float:
+    value = names.header(headers, names.DEADLINE_MS)
+    if value is None or not value.isdigit():
+        return most
+    return min(most, int(value) / 1000)
--- /dev/null
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -0,0 +1,415 @@
+"""Runs a request somewhere: chooses a place, tries it, and retries where that is allowed.
+
+This is the only layer that retries. A retry is allowed when the failed attempt is certain not to
+have run, or when the request is safe; it takes from the service's retry budget unless nothing left
+this process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from cassiashore._internal.admission.shift import LinkBudgets, ShiftLimiter
+from cassiashore._internal.admission.slots import ServiceSlots, TargetState
+from cassiashore._internal.catalogue.index import Catalogue
+from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.net.pool import ConnectionPool
+from cassiashore._internal.observability.logs import DecisionLog
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.proxy import headers as names
+from cassiashore._internal.proxy.answers import FailureReport
+from cassiashore._internal.proxy.attempt import (
+    PEER_REASONS,
+    TARGET_REASONS,
+    LiveAnswer,
+    attempt,
+)
+from cassiashore._internal.proxy.exchange import Exchange
+from cassiashore._internal.proxy.hop import Hop, HopKind, sign_hop
+from cassiashore._internal.requests.poison import CRASH_LIMIT, PoisonRegistry
+from cassiashore._internal.requests.retry import RetryBudget
+from cassiashore._internal.routing.finder import PlaceFinder
+from cassiashore._internal.routing.places import Place, PlaceKind
+from cassiashore._internal.routing.policies import Policy
+
+MAX_ATTEMPTS = 4
+PEER_CONNECTIONS = 256
+CANCEL_LINGER_SECONDS = 0.05
+MAX_FAILURE_REPORT_BYTES = 16 * 1024
+SERVER_ERROR = 500
+_CRASH_REASONS = frozenset({Reason.TARGET_FAILED, Reason.PEER_FAILED})
+_FREE_TO_RETRY = frozenset({Reason.NO_CAPACITY, Reason.SHIFT_CAP})
+
+
+@dataclass(slots=True)
+class ServiceRuntime:
+    """What an instance keeps for one service."""
+
+    slots: ServiceSlots
+    policy: Policy
+    budget: RetryBudget
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Attempts of one request so far."""
+
+    tried_places: set[str] = field(default_factory=set)
+    tried_targets: set[str] = field(default_factory=set)
+    crashes: int = 0
+    failure: Failure | None = None
+
+    def add(self, failure: Failure) -> None:
+        """Keep the worst knowledge: once an attempt may have run, the request may have run."""
+        if self.failure is None or self.failure.outcome is Outcome.NOT_RUN:
+            self.failure = failure
+        if failure.reason in _CRASH_REASONS:
+            self.crashes += 1
+
+
+class RequestRunner:
+    """Runs requests for one instance."""
+
+    def __init__(
+        self,
+        own: Identity,
+        finder: PlaceFinder,
+        shift: ShiftLimiter,
+        links: LinkBudgets,
+        poison: PoisonRegistry,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        peer_key: bytes,
+    ) -> None:
+        """Keep the parts; ``update`` gives the catalogue and the services."""
+        self.runtime_by_service: dict[str, ServiceRuntime] = {}
+        self.catalogue: Catalogue | None = None
+        self.in_flight = 0
+        self._own = own
+        self._finder = finder
+        self._shift = shift
+        self._links = links
+        self._poison = poison
+        self._decisions = decisions
+        self._metrics = metrics
+        self._peer_key = peer_key
+        self._pool_by_peer: dict[str, ConnectionPool] = {}
+
+    async def run(self, exchange: Exchange) -> Result[LiveAnswer, Failure]:
+        """Run the request; the failure tells what is known of the whole request."""
+        runtime = self.runtime_by_service[exchange.service.name]
+        if self._poison.is_poisonous(exchange.fingerprint):
+            detail = "this request has crashed targets"
+            return Err(Failure.not_run(Reason.POISONOUS, detail))
+        runtime.budget.first_try()
+        progress = _Progress()
+        for _ in range(MAX_ATTEMPTS):
+            place = self._choose_place(exchange, runtime, progress)
+            if place is None:
+                break
+            outcome = await self._try_place(exchange, runtime, place, progress)
+            if isinstance(outcome, Ok):
+                return outcome
+            progress.add(outcome.err_value)
+            if progress.crashes >= CRASH_LIMIT:
+                break
+            if not self._may_retry(exchange, runtime, place, outcome.err_value):
+                break
+        no_place = Failure.not_run(Reason.NO_CAPACITY, "no place can take the request")
+        return Err(progress.failure or no_place)
+
+    async def run_here(self, exchange: Exchange) -> Result[LiveAnswer, Failure]:
+        """Run a request that another instance forwarded, on a target admitted here."""
+        runtime = self.runtime_by_service[exchange.service.name]
+        if self._poison.is_poisonous(exchange.fingerprint):
+            detail = "this request has crashed targets"
+            return Err(Failure.not_run(Reason.POISONOUS, detail))
+        return await self._try_local(exchange, runtime, _Progress())
+
+    async def forward_to_owner(
+        self, exchange: Exchange, owner: Identity
+    ) -> Result[LiveAnswer, Failure]:
+        """Pass a request on to the instance that owns its key."""
+        hop = self._hop(exchange, HopKind.OWN)
+        return await self._forward(exchange, owner, hop)
+
+    def close(self) -> None:
+        """Close idle connections to peers and targets."""
+        for pool in self._pool_by_peer.values():
+            pool.close()
+        for runtime in self.runtime_by_service.values():
+            for state in runtime.slots.state_by_target.values():
+                state.connections.close()
+
+    def _choose_place(
+        self, exchange: Exchange, runtime: ServiceRuntime, progress: _Progress
+    ) -> Place | None:
+        catalogue = self.catalogue
+        if catalogue is None:
+            return None
+        service = exchange.service
+        home = (exchange.home_region, exchange.home_domain)
+        local = self._finder.local(runtime.slots, catalogue, *home)
+        fresh_local = local.name not in progress.tried_places
+        if fresh_local and runtime.policy.is_good_enough(local, service.objective):
+            return local
+        places = [
+            place
+            for place in self._finder.elsewhere(service.name, catalogue, *home)
+            if place.name not in progress.tried_places
+        ]
+        if fresh_local and local.total > 0:
+            places.append(local)
+        ordered = runtime.policy.order_places(places, service.objective)
+        return ordered[0] if ordered else None
+
+    async def _try_place(
+        self, exchange: Exchange, runtime: ServiceRuntime, place: Place, progress: _Progress
+    ) -> Result[LiveAnswer, Failure]:
+        started = time.monotonic()
+        if place.kind is PlaceKind.LOCAL:
+            outcome = await self._try_local(exchange, runtime, progress)
+        else:
+            outcome = await self._try_elsewhere(exchange, place, progress)
+        self._record(exchange, place, outcome, time.monotonic() - started)
+        return outcome
+
+    def _record(
+        self,
+        exchange: Exchange,
+        place: Place,
+        outcome: Result[LiveAnswer, Failure],
+        seconds: float,
+    ) -> None:
+        service = exchange.service.name
+        result = "answered" if isinstance(outcome, Ok) else outcome.err_value.reason.value
+        self._metrics.attempts.labels(service, place.kind.value, result).inc()
+        self._decisions.write(
+            "route",
+            service=service,
+            version=self.catalogue.version if self.catalogue else 0,
+            place=place.name,
+            kind=place.kind.value,
+            free=place.free,
+            total=place.total,
+            moved=place.is_move,
+            result=result,
+            served_by=outcome.ok_value.served_by if isinstance(outcome, Ok) else None,
+            seconds=round(seconds, 6),
+        )
+
+    def _may_retry(
+        self, exchange: Exchange, runtime: ServiceRuntime, place: Place, failure: Failure
+    ) -> bool:
+        if failure.reason in (Reason.DEADLINE, Reason.POISONOUS):
+            return False
+        if failure.outcome is not Outcome.NOT_RUN and not exchange.is_safe:
+            return False
+        if not exchange.may_resend:
+            return False
+        if place.kind is PlaceKind.LOCAL and failure.reason in _FREE_TO_RETRY:
+            return True
+        if not runtime.budget.try_retry():
+            return False
+        self._metrics.retries.labels(exchange.service.name).inc()
+        return True
+
+    # Here.
+
+    async def _try_local(
+        self, exchange: Exchange, runtime: ServiceRuntime, progress: _Progress
+    ) -> Result[LiveAnswer, Failure]:
+        slots = runtime.slots
+        wait = min(exchange.service.queue_seconds, exchange.deadline - time.monotonic())
+        taken = await slots.take(wait, frozenset(progress.tried_targets))
+        if isinstance(taken, Err):
+            progress.tried_places.add(self._own.instance)
+            return taken
+        state = taken.ok_value
+        if self._shift.is_move(exchange.home_region, exchange.home_domain):
+            if not self._shift.try_admit():
+                slots.give_back(state)
+                progress.tried_places.add(self._own.instance)
+                return Err(Failure.not_run(Reason.SHIFT_CAP, "the shift cap is used up"))
+            self._metrics.moved.inc()
+        progress.tried_targets.add(state.target.key)
+        return await self._run_on_target(exchange, slots, state)
+
+    async def _run_on_target(
+        self, exchange: Exchange, slots: ServiceSlots, state: TargetState
+    ) -> Result[LiveAnswer, Failure]:
+        started = time.monotonic()
+        live: LiveAnswer | None = None
+        outcome: Result[LiveAnswer, Failure] | None = None
+        try:
+            outcome = await attempt(
+                exchange,
+                state.connections,
+                exchange.path,
+                [],
+                TARGET_REASONS,
+                _noop,
+                state.target.name,
+            )
+        finally:
+            if outcome is None:
+                self._linger(slots, state)
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            self._note_failure(exchange, slots, state, failure)
+            if failure.outcome is Outcome.NOT_RUN:
+                slots.give_back(state)
+            else:
+                self._linger(slots, state)
+            return outcome
+        live = outcome.ok_value
+        live.finish = self._finisher(slots, state, live)
+        seconds = time.monotonic() - started
+        return await self._judge(exchange, slots, state, live, seconds)
+
+    async def _judge(
+        self,
+        exchange: Exchange,
+        slots: ServiceSlots,
+        state: TargetState,
+        live: LiveAnswer,
+        seconds: float,
+    ) -> Result[LiveAnswer, Failure]:
+        """Take the answer's head into the target's health; turn a shed request into a failure."""
+        if live.head.get(exchange.service.shed_header) is not None:
+            state.health.failed()
+            slots.eject_if_allowed(state)
+            live.finish(False)
+            return Err(Failure.not_run(Reason.TARGET_SHED, f"{state.target.name} shed it"))
+        if live.head.status >= SERVER_ERROR:
+            if state.health.failed():
+                slots.eject_if_allowed(state)
+        else:
+            state.health.succeeded(seconds)
+        self._metrics.latency.labels(exchange.service.name).observe(seconds)
+        if self.catalogue is not None and self._is_other_region(exchange):
+            region = exchange.home_region
+            live.pace = lambda size: self._links.delay_for(region, size)
+        return Ok(live)
+
+    def _is_other_region(self, exchange: Exchange) -> bool:
+        assert self.catalogue is not None
+        own_region = self.catalogue.region_by_failure_domain.get(self._own.failure_domain)
+        return exchange.home_region != own_region
+
+    def _note_failure(
+        self, exchange: Exchange, slots: ServiceSlots, state: TargetState, failure: Failure
+    ) -> None:
+        if failure.reason is Reason.TARGET_FAILED:
+            hit = self._poison.record_crash(exchange.fingerprint, state.target.key)
+            if hit > 1:
+                return
+        if state.health.failed():
+            slots.eject_if_allowed(state)
+
+    def _finisher(
+        self, slots: ServiceSlots, state: TargetState, live: LiveAnswer
+    ) -> Callable[[bool], None]:
+        def finish(whole: bool) -> None:
+            if whole:
+                state.connections.release(live.connection)
+                slots.give_back(state)
+            else:
+                state.connections.discard(live.connection)
+                self._linger(slots, state)
+
+        return finish
+
+    def _linger(self, slots: ServiceSlots, state: TargetState) -> None:
+        """Give the slot back once the target has had time to notice the cancellation."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(CANCEL_LINGER_SECONDS, slots.give_back, state)
+
+    # Elsewhere.
+
+    async def _try_elsewhere(
+        self, exchange: Exchange, place: Place, progress: _Progress
+    ) -> Result[LiveAnswer, Failure]:
+        progress.tried_places.add(place.name)
+        assert place.address is not None
+        identity = self._finder.identity_at(place.address)
+        if identity is None:
+            return Err(Failure.not_run(Reason.PEER_UNREACHABLE, f"{place.name} is gone"))
+        outstanding = self._finder.outstanding_by_place
+        outstanding[place.name] = outstanding.get(place.name, 0) + 1
+        try:
+            return await self._forward(exchange, identity, self._hop(exchange, HopKind.EXECUTE))
+        finally:
+            outstanding[place.name] -= 1
+
+    def _hop(self, exchange: Exchange, kind: HopKind) -> Hop:
+        return Hop(
+            kind,
+            self._own.instance,
+            exchange.home_region,
+            exchange.home_domain,
+            exchange.client,
+        )
+
+    async def _forward(
+        self, exchange: Exchange, peer: Identity, hop: Hop
+    ) -> Result[LiveAnswer, Failure]:
+        pool = self._peer_pool(peer)
+        path = f"/services/{exchange.service.name}{exchange.path}"
+        extra = [(names.HOP, sign_hop(hop, peer.incarnation, self._peer_key))]
+        outcome = await attempt(exchange, pool, path, extra, PEER_REASONS, _noop, peer.instance)
+        if isinstance(outcome, Err):
+            return outcome
+        live = outcome.ok_value
+        live.finish = _pool_finisher(pool, live)
+        return await _read_peer_outcome(live)
+
+    def _peer_pool(self, peer: Identity) -> ConnectionPool:
+        pool = self._pool_by_peer.get(peer.address)
+        if pool is None:
+            pool = ConnectionPool(Address.parse(peer.address), PEER_CONNECTIONS)
+            self._pool_by_peer[peer.address] = pool
+        return pool
+
+
+def _noop(whole: bool) -> None:
+    """Stand for a finisher that is set once the answer's head is known."""
+
+
+def _pool_finisher(pool: ConnectionPool, live: LiveAnswer) -> Callable[[bool], None]:
+    def finish(whole: bool) -> None:
+        if whole:
+            pool.release(live.connection)
+        else:
+            pool.discard(live.connection)
+
+    return finish
+
+
+async def _read_peer_outcome(live: LiveAnswer) -> Result[LiveAnswer, Failure]:
+    """Tell an answer of a target from a peer's own report of a failure."""
+    reason = live.head.get(names.REASON)
+    served_by = live.head.get(names.SERVED_BY)
+    if served_by is not None:
+        live.served_by = served_by.decode("latin-1")
+    if reason is None and live.head.get(names.OUTCOME) == Outcome.RAN.encode():
+        return Ok(live)
+    whole = False
+    try:
+        body = await live.connection.read_all(MAX_FAILURE_REPORT_BYTES)
+        whole = True
+        report = msgspec.json.decode(body, type=FailureReport)
+        return Err(Failure(report.outcome, report.reason, report.detail))
+    except (ConnectionLostError, msgspec.DecodeError) as error:
+        return Err(Failure.unknown(Reason.PEER_FAILED, f"unreadable answer: {error}"))
+    finally:
+        live.finish(whole)
--- /dev/null
+++ b/src/cassiashore/_internal/requests/keys.py
@@ -0,0 +1,44 @@
+"""Request keys that are bound to one run of one instance."""
+
+from __future__ import annotations
+
+import re
+import secrets
+from dataclasses import dataclass
+
+_INCARNATION_DIGITS = 24
+_RANDOM_BYTES = 6
+_PATTERN = re.compile(r"^([0-9a-f]{24})\.([0-9]{1,10})\.([0-9a-f]{12})\.([A-Za-z0-9_-]{1,64})$")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKey:
+    """A key whose ``incarnation`` alone may ever dispatch it.
+
+    ``slot`` is a time slot of that incarnation's monotonic clock; it bounds how long the key is
+    remembered.
+    """
+
+    incarnation: str
+    slot: int
+    text: str
+
+    @classmethod
+    def parse(cls, text: str) -> RequestKey | None:
+        """Read a key, or return None when it is malformed.
+
+        >>> ticket = new_ticket("0" * 24, 7)
+        >>> RequestKey.parse(ticket + ".1").slot
+        7
+        >>> RequestKey.parse("x") is None
+        True
+        """
+        match = _PATTERN.match(text)
+        if match is None:
+            return None
+        return cls(match[1], int(match[2]), text)
+
+
+def new_ticket(incarnation: str, slot: int) -> str:
+    """Return a prefix for request keys; callers append a dot and a suffix of their own."""
+    return f"{incarnation}.{slot}.{secrets.token_hex(_RANDOM_BYTES)}"
--- /dev/null
+++ b/src/cassiashore/_internal/requests/ledger.py
@@ -0,0 +1,201 @@
+"""What an instance knows of each request key that it owns.
+
+A key is dispatched at most once. Every refusal that says "not run" closes the key, so a copy of the
+request that arrives later is refused too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.net.http_client import Headers
+
+MAX_KEPT_ANSWER_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole answer, kept to be given again."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class KeyState(Enum):
+    """Progress of a key."""
+
+    OPEN = "open"
+    DISPATCHED = "dispatched"
+    ANSWERED = "answered"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class KeyRecord:
+    """What is known of one key. ``done`` is set when the state is final."""
+
+    slot: int
+    fingerprint: int
+    state: KeyState = KeyState.OPEN
+    answer: KeptAnswer | None = None
+    failure: Failure | None = None
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The key is new; the receiver of this value runs the request."""
+
+    record: KeyRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """The key was seen before; wait for ``record.done`` and repeat what it says."""
+
+    record: KeyRecord
+
+
+class KeyLedger:
+    """Records of the keys of one instance, by key text.
+
+    ``current_slot`` gives the instance's time slot. Keys of slots below ``floor`` are forgotten;
+    whether they ran is no longer known.
+    """
+
+    def __init__(
+        self,
+        current_slot: Callable[[], int],
+        slots_kept: int,
+        max_keys: int,
+        max_answer_bytes: int = 8 << 20,
+    ) -> None:
+        """Create an empty ledger with its limits."""
+        self._current_slot = current_slot
+        self._slots_kept = slots_kept
+        self._max_keys = max_keys
+        self._max_answer_bytes = max_answer_bytes
+        self._records_by_slot: dict[int, dict[str, KeyRecord]] = {}
+        self._answers: OrderedDict[str, KeyRecord] = OrderedDict()
+        self._answer_bytes = 0
+        self._count = 0
+        self.floor = 0
+
+    def __len__(self) -> int:
+        """Return the number of keys remembered."""
+        return self._count
+
+    def begin(self, text: str, slot: int, fingerprint: int) -> Started | Known | Failure:
+        """Look a key up, or open it; a ``Failure`` refuses the request.
+
+        The check and the record happen without giving up the event loop, so of two requests with
+        one key exactly one starts.
+        """
+        self._advance_floor()
+        if slot < self.floor:
+            return Failure.unknown(Reason.KEY_EXPIRED, "the key is too old to be remembered")
+        if slot > self._current_slot():
+            return Failure.unknown(Reason.KEY_MALFORMED, "the key's time slot has not begun")
+        return self._look_up(self._records_by_slot.get(slot, {}).get(text), fingerprint) or (
+            self._open(text, slot, fingerprint)
+        )
+
+    def begin_claim(self, text: str, fingerprint: int) -> Started | Known | Failure:
+        """Look a claimed key up in every kept slot, or open it in the current one."""
+        self._advance_floor()
+        for records in self._records_by_slot.values():
+            if text in records:
+                found = self._look_up(records[text], fingerprint)
+                assert found is not None
+                return found
+        return self._open(text, self._current_slot(), fingerprint)
+
+    def _look_up(self, record: KeyRecord | None, fingerprint: int) -> Known | Failure | None:
+        if record is None:
+            return None
+        if record.fingerprint != fingerprint:
+            return Failure.unknown(Reason.KEY_MISMATCH, "the key came with another request")
+        return Known(record)
+
+    def _open(self, text: str, slot: int, fingerprint: int) -> Started | Failure:
+        if self._count >= self._max_keys and not self._make_room(slot):
+            return Failure.unknown(Reason.KEYS_EXHAUSTED, "too many keys are remembered")
+        record = KeyRecord(slot, fingerprint)
+        self._records_by_slot.setdefault(slot, {})[text] = record
+        self._count += 1
+        return Started(record)
+
+    def dispatched(self, record: KeyRecord) -> None:
+        """Note that request bytes may now reach a target."""
+        record.state = KeyState.DISPATCHED
+
+    def answered(self, text: str, record: KeyRecord, answer: KeptAnswer | None) -> None:
+        """Close a key with its answer; an answer of None was too large to keep."""
+        record.state = KeyState.ANSWERED
+        if answer is not None:
+            record.answer = answer
+            self._answers[text] = record
+            self._answer_bytes += len(answer.body)
+            self._trim_answers()
+        record.done.set()
+
+    def failed(self, record: KeyRecord, failure: Failure) -> None:
+        """Close a key without an answer."""
+        record.state = KeyState.FAILED
+        record.failure = failure
+        record.done.set()
+
+    def forget(self, text: str, record: KeyRecord) -> None:
+        """Drop a key that was never dispatched, so that a later request may open it again."""
+        if record.state is not KeyState.OPEN:
+            return
+        if self._records_by_slot.get(record.slot, {}).pop(text, None) is not None:
+            self._count -= 1
+        record.state = KeyState.FAILED
+        record.failure = Failure.unknown(Reason.STORE_UNREACHABLE, "the claim was not settled")
+        record.done.set()
+
+    def _advance_floor(self) -> None:
+        self._raise_floor(self._current_slot() - self._slots_kept + 1)
+
+    def _make_room(self, slot: int) -> bool:
+        oldest = min(self._records_by_slot, default=slot)
+        if oldest >= slot:
+            return False
+        self._raise_floor(oldest + 1)
+        return True
+
+    def _raise_floor(self, floor: int) -> None:
+        if floor <= self.floor:
+            return
+        self.floor = floor
+        for slot in [s for s in self._records_by_slot if s < floor]:
+            records = self._records_by_slot.pop(slot)
+            self._count -= len(records)
+            for text in records:
+                self._drop_answer(text)
+
+    def _trim_answers(self) -> None:
+        while self._answer_bytes > self._max_answer_bytes and self._answers:
+            self._drop_answer(next(iter(self._answers)))
+
+    def _drop_answer(self, text: str) -> None:
+        record = self._answers.pop(text, None)
+        if record is not None and record.answer is not None:
+            self._answer_bytes -= len(record.answer.body)
+            record.answer = None
+
+
+def known_failure(record: KeyRecord) -> Failure | None:
+    """Return the failure to repeat for a finished key, or None when it has a kept answer."""
+    if record.failure is not None:
+        return record.failure
+    if record.answer is None:
+        return Failure(Outcome.RAN, Reason.ANSWER_NOT_KEPT, "it ran; its answer is not kept")
+    return None
--- /dev/null
+++ b/src/cassiashore/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of places and targets."""
--- /dev/null
+++ b/src/cassiashore/_internal/routing/domains.py
@@ -0,0 +1,72 @@
+"""What is known of the other failure domains, from digests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cassiashore._internal.peers.messages import DomainDigest, Gateway, ServiceLoad
+
+STALE_SECONDS = 6.0
+FORGET_SECONDS = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class DomainView:
+    """A digest with the own time at which it was made."""
+
+    digest: DomainDigest
+    made_at: float
+
+    def age(self, now: float) -> float:
+        """Return the age of the digest in seconds."""
+        return now - self.made_at
+
+    def load_of(self, service: str) -> ServiceLoad | None:
+        """Return the load of a service there."""
+        for load in self.digest.loads:
+            if load.service == service:
+                return load
+        return None
+
+
+class DomainTable:
+    """The newest digest of each other failure domain, by its name."""
+
+    def __init__(self, own_domain: str) -> None:
+        """Create an empty table."""
+        self._own_domain = own_domain
+        self.view_by_domain: dict[str, DomainView] = {}
+
+    def merge(self, digest: DomainDigest, now: float) -> bool:
+        """Keep a digest if it is newer than the one known; tell whether it is."""
+        if digest.failure_domain == self._own_domain:
+            return False
+        made_at = now - digest.age_ms / 1000
+        known = self.view_by_domain.get(digest.failure_domain)
+        if known is not None and known.made_at >= made_at:
+            return False
+        self.view_by_domain[digest.failure_domain] = DomainView(digest, made_at)
+        return True
+
+    def fresh(self, now: float) -> list[DomainView]:
+        """Return the views that are recent enough to steer by."""
+        views = self.view_by_domain.values()
+        return [view for view in views if view.age(now) <= STALE_SECONDS]
+
+    def gateways(self, now: float) -> list[Gateway]:
+        """Return the instances of other failure domains that take requests."""
+        return [
+            gateway
+            for view in self.fresh(now)
+            for gateway in view.digest.gateways
+            if gateway.ready and not gateway.leaving
+        ]
+
+    def known_versions(self) -> dict[str, int]:
+        """Return the catalogue version last heard of each failure domain."""
+        return {name: view.digest.version for name, view in self.view_by_domain.items()}
+
+    def forget_old(self, now: float) -> None:
+        """Drop views that are too old to be of any use."""
+        for name in [n for n, v in self.view_by_domain.items() if v.age(now) > FORGET_SECONDS]:
+            del self.view_by_domain[name]
--- /dev/null
+++ b/src/cassiashore/_internal/routing/health.py
@@ -0,0 +1,58 @@
+"""Health of a target, from outcomes of real requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+EJECT_AFTER_FAILURES = 5
+FIRST_EJECTION_SECONDS = 1.0
+MAX_EJECTION_SECONDS = 30.0
+MAX_EJECTED_SHARE = 0.5
+LATENCY_WEIGHT = 0.2
+SLOW_START_SECONDS = 3.0
+DEFAULT_LATENCY_SECONDS = 0.005
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """Outcomes of one target. Times are seconds of the monotonic clock."""
+
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    ramp_from: float = float("-inf")
+    latency: float = DEFAULT_LATENCY_SECONDS
+
+    def succeeded(self, latency: float) -> None:
+        """Take in an answer that came after ``latency`` seconds."""
+        self.failures_in_row = 0
+        self.ejections = max(0, self.ejections - 1) if self.ejected_until == 0.0 else 0
+        self.latency += LATENCY_WEIGHT * (latency - self.latency)
+
+    def failed(self) -> bool:
+        """Take in a failure; return whether the target should be ejected."""
+        self.failures_in_row += 1
+        return self.failures_in_row >= EJECT_AFTER_FAILURES
+
+    def eject(self, now: float) -> None:
+        """Send nothing to the target for a time that doubles with each ejection in a row."""
+        seconds = min(FIRST_EJECTION_SECONDS * 2.0**self.ejections, MAX_EJECTION_SECONDS)
+        self.ejections += 1
+        self.failures_in_row = 0
+        self.ejected_until = now + seconds
+        self.ramp_from = self.ejected_until
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether the target is ejected."""
+        return now < self.ejected_until
+
+    def start_slowly(self, now: float) -> None:
+        """Begin a slow start, as for a target that is new or cold."""
+        self.ramp_from = now
+
+    def ramp(self, now: float) -> float:
+        """Return the share of its slots that a target may use during slow start, 0 to 1."""
+        elapsed = now - self.ramp_from
+        if elapsed >= SLOW_START_SECONDS:
+            return 1.0
+        return max(0.0, elapsed / SLOW_START_SECONDS)
--- /dev/null
+++ b/src/cassiashore/_internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value service."""
