Pass remote requests on inside the destination, and end a planned stop in stages

A forwarded request may now take one more hop inside the destination domain (PLACE); only the first instance retries. Cause 2: a stopping instance waited for callers that kept coming, ran into its 30 s limit and cut off 6 requests. It now passes requests on for as long as look-up answers may be cached, then stops listening and waits for what is in flight. Cause 3: a target that shed was tried again by the same instance until the attempts were used up (0 of 10 answered with both local targets shedding). It now rests for 0.25 s, and a place whose targets were all tried is left. Ruled out: stale digests (free slots were reported right), the retry budget. The crash test failed for a fault of the stand-in: it answered 500 instead of dropping the connection.

--- a/lab/ports.py
+++ b/lab/ports.py
@@ -1,20 +1,31 @@
-"""Free ports on loopback."""
+"""Free ports on loopback, outside the range that outgoing connections use."""
 
 from __future__ import annotations
 
+import random
 import socket
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now; all are held open until the last is found."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind((LOOPBACK, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
+    """Return ports that nothing listens on now; no outgoing connection will take them."""
+    candidates = random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
+    found: list[int] = []
+    for port in candidates:
+        if len(found) == count:
+            break
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
--- a/src/cassiashore/_internal/admission/slots.py
+++ b/src/cassiashore/_internal/admission/slots.py
@@ -104,11 +104,14 @@
             state
             for key, state in self.state_by_target.items()
             if state.in_flight < state.limit(service.utilisation, now)
-            and not state.is_going
-            and not state.health.is_ejected(now)
-            and self._rights.may_admit(key, now)
+            and self._is_usable(key, state, now)
         ]
 
+    def usable_targets(self) -> list[str]:
+        """Return the keys of the targets in use, whether or not they have a free slot."""
+        now = self._monotonic()
+        return [k for k, state in self.state_by_target.items() if self._is_usable(k, state, now)]
+
     def totals(self) -> tuple[int, int]:
         """Return the free slots and all slots that may be used now."""
         service = self.service
@@ -117,9 +120,7 @@
         now = self._monotonic()
         free = total = 0
         for key, state in self.state_by_target.items():
-            if state.is_going or state.health.is_ejected(now):
-                continue
-            if not self._rights.may_admit(key, now):
+            if not self._is_usable(key, state, now):
                 continue
             limit = state.limit(service.utilisation, now)
             total += limit
@@ -198,6 +199,11 @@
         state.health.eject(now)
         return True
 
+    def _is_usable(self, key: str, state: TargetState, now: float) -> bool:
+        if state.is_going or state.health.is_resting(now):
+            return False
+        return self._rights.may_admit(key, now)
+
     def _take_free(self, avoid: frozenset[str]) -> TargetState | None:
         candidates = self.free()
         if not candidates:
--- a/src/cassiashore/_internal/cli/standin.py
+++ b/src/cassiashore/_internal/cli/standin.py
@@ -10,6 +10,7 @@
 import msgspec
 import uvloop
 
+from cassiashore._internal.http.guard import GuardedProtocol
 from cassiashore._internal.http.server import HttpServer
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.standins.store import build_store_app
@@ -48,7 +49,7 @@
     servers = []
     for spec in specs:
         target: Any = StandinTarget(spec.name, spec.slots, spec.behaviour)
-        servers.append(HttpServer(target, Address.parse(spec.address)))
+        servers.append(HttpServer(target, Address.parse(spec.address), GuardedProtocol))
     await _serve_until_signal(servers)
 
 
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -205,33 +205,43 @@
         logger.info("instance %s (%s) started", self.own.instance, self.own.incarnation)
 
     async def stop(self, seconds: float = DEFAULT_STOP_SECONDS) -> None:
-        """Leave: take no new rights, let requests in flight end, then close everything.
+        """Leave in stages, within ``seconds``; log what is cut off if that is too short.
 
-        Requests that still arrive are passed on to other instances. After ``seconds`` what still
-        runs is cut off, and a log line says how much that was.
+        First no look-up names this instance and its rights are handed over, while requests of
+        callers with cached answers are passed on. When those answers have expired, it stops
+        listening and lets the requests in flight end.
         """
         deadline = time.monotonic() + seconds
         self._is_stopping = True
         self.cluster.leave()
-        await asyncio.sleep(min(LEAVE_NOTICE_SECONDS, seconds))
+        await self._wait_for_cached_answers(deadline)
+        closing = asyncio.create_task(self._http.stop())
         while time.monotonic() < deadline:
             self.cluster.steward.step()
-            if self.proxy.in_flight == 0 and not self._may_hand_over():
+            if closing.done() and not self._may_hand_over():
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
         if self.proxy.in_flight:
             logger.warning("stopping cuts off %d requests", self.proxy.in_flight)
+        closing.cancel()
         self.cluster.say_goodbye()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(closing, *self._tasks, return_exceptions=True)
         self._dns.stop()
-        await self._http.stop()
         await self.cluster.mesh.close()
         self.runner.close()
         self.store.close()
         logger.info("instance %s stopped", self.own.instance)
 
+    async def _wait_for_cached_answers(self, deadline: float) -> None:
+        catalogue = self.keeper.catalogue
+        ttl = catalogue.lookup.ttl_seconds if catalogue else 0
+        until = min(deadline, time.monotonic() + ttl + LEAVE_NOTICE_SECONDS)
+        while time.monotonic() < until:
+            self.cluster.steward.step()
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
     def _may_hand_over(self) -> bool:
         alive = [m for m in self.membership.alive() if m.ready and not m.leaving]
         return bool(alive) and bool(self.rights.held())
--- a/src/cassiashore/_internal/proxy/handler.py
+++ b/src/cassiashore/_internal/proxy/handler.py
@@ -19,7 +19,7 @@
 from cassiashore._internal.proxy.attempt import LiveAnswer
 from cassiashore._internal.proxy.exchange import BodySource, Exchange, Receive, Scope, Send
 from cassiashore._internal.proxy.hop import HopKind, read_hop
-from cassiashore._internal.proxy.runner import RequestRunner
+from cassiashore._internal.proxy.runner import Reach, RequestRunner
 from cassiashore._internal.requests.claims import ClaimRegistrar, claim_key
 from cassiashore._internal.requests.keys import RequestKey
 from cassiashore._internal.requests.ledger import (
@@ -37,6 +37,12 @@
 CONNECTION_KEY = "cassiashore.connection"
 MAX_IDEMPOTENCY_KEY_BYTES = 256
 
+_REACH_BY_HOP = {
+    HopKind.EXECUTE: Reach.HERE,
+    HopKind.PLACE: Reach.DOMAIN,
+    HopKind.OWN: Reach.ANYWHERE,
+}
+
 _Running = Awaitable[Result[LiveAnswer, Failure]]
 
 
@@ -148,11 +154,9 @@
         exchange.fingerprint = fingerprint(
             exchange.service.name, exchange.method, exchange.path, exchange.body.prefix
         )
-        if exchange.hop is not None and exchange.hop.kind is HopKind.EXECUTE:
-            await self._serve_once(exchange, scope, send, self._runner.run_here(exchange))
-            return
-        if exchange.is_safe:
-            await self._serve_once(exchange, scope, send, self._runner.run(exchange))
+        reach = Reach.ANYWHERE if exchange.hop is None else _REACH_BY_HOP[exchange.hop.kind]
+        if exchange.is_safe or reach is not Reach.ANYWHERE:
+            await self._serve_once(exchange, scope, send, self._runner.run(exchange, reach))
             return
         key_text = names.header(exchange.headers, names.REQUEST_KEY)
         if key_text is not None:
@@ -162,7 +166,7 @@
         if idempotency_key is not None:
             await self._serve_claim(exchange, scope, send, idempotency_key.decode("latin-1"))
             return
-        await self._serve_once(exchange, scope, send, self._runner.run(exchange))
+        await self._serve_once(exchange, scope, send, self._runner.run(exchange, reach))
 
     async def _serve_once(
         self, exchange: Exchange, scope: Scope, send: Send, running: _Running
@@ -275,7 +279,7 @@
         self, exchange: Exchange, send: Send, text: str, record: KeyRecord
     ) -> None:
         self._ledger.dispatched(record)
-        outcome = await self._runner.run(exchange)
+        outcome = await self._runner.run(exchange, Reach.ANYWHERE)
         if isinstance(outcome, Err):
             self._ledger.failed(record, outcome.err_value)
             await self._refuse(send, exchange.service.name, outcome.err_value)
--- a/src/cassiashore/_internal/proxy/hop.py
+++ b/src/cassiashore/_internal/proxy/hop.py
@@ -19,10 +19,12 @@
     """What the receiver is asked to do.
 
     ``EXECUTE``: run the request on a target admitted here, and do not forward it.
+    ``PLACE``: run it in this failure domain, here or at a member that admits to a free target.
     ``OWN``: treat the request as if its caller had sent it here, since its key belongs here.
     """
 
     EXECUTE = "execute"
+    PLACE = "place"
     OWN = "own"
 
 
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import msgspec
 from result import Err, Ok, Result
@@ -41,15 +42,32 @@
 from cassiashore._internal.routing.places import Place, PlaceKind
 from cassiashore._internal.routing.policies import Policy
 
-MAX_ATTEMPTS = 4
 PEER_CONNECTIONS = 256
 CANCEL_LINGER_SECONDS = 0.05
 MAX_FAILURE_REPORT_BYTES = 16 * 1024
 SERVER_ERROR = 500
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED, Reason.PEER_FAILED})
+_FINAL_REASONS = frozenset({Reason.DEADLINE, Reason.POISONOUS})
 _FREE_TO_RETRY = frozenset({Reason.NO_CAPACITY, Reason.SHIFT_CAP})
 
 
+_HOP_BY_PLACE = {PlaceKind.PEER: HopKind.EXECUTE, PlaceKind.REMOTE: HopKind.PLACE}
+
+
+class Reach(Enum):
+    """How far away a request may run.
+
+    Only the instance that a caller reached, or that owns the request's key, looks everywhere.
+    """
+
+    ANYWHERE = "anywhere"
+    DOMAIN = "domain"
+    HERE = "here"
+
+
+_ATTEMPTS_BY_REACH = {Reach.ANYWHERE: 4, Reach.DOMAIN: 2, Reach.HERE: 1}
+
+
 @dataclass(slots=True)
 class ServiceRuntime:
     """What an instance keeps for one service."""
@@ -63,6 +81,7 @@
 class _Progress:
     """Attempts of one request so far."""
 
+    reach: Reach
     tried_places: set[str] = field(default_factory=set)
     tried_targets: set[str] = field(default_factory=set)
     crashes: int = 0
@@ -104,15 +123,16 @@
         self._peer_key = peer_key
         self._pool_by_peer: dict[str, ConnectionPool] = {}
 
-    async def run(self, exchange: Exchange) -> Result[LiveAnswer, Failure]:
+    async def run(self, exchange: Exchange, reach: Reach) -> Result[LiveAnswer, Failure]:
         """Run the request; the failure tells what is known of the whole request."""
         runtime = self.runtime_by_service[exchange.service.name]
         if self._poison.is_poisonous(exchange.fingerprint):
             detail = "this request has crashed targets"
             return Err(Failure.not_run(Reason.POISONOUS, detail))
-        runtime.budget.first_try()
-        progress = _Progress()
-        for _ in range(MAX_ATTEMPTS):
+        if reach is Reach.ANYWHERE:
+            runtime.budget.first_try()
+        progress = _Progress(reach)
+        for _ in range(_ATTEMPTS_BY_REACH[reach]):
             place = self._choose_place(exchange, runtime, progress)
             if place is None:
                 break
@@ -120,21 +140,11 @@
             if isinstance(outcome, Ok):
                 return outcome
             progress.add(outcome.err_value)
-            if progress.crashes >= CRASH_LIMIT:
-                break
-            if not self._may_retry(exchange, runtime, place, outcome.err_value):
+            if not self._may_retry(exchange, runtime, place, progress, outcome.err_value):
                 break
         no_place = Failure.not_run(Reason.NO_CAPACITY, "no place can take the request")
         return Err(progress.failure or no_place)
 
-    async def run_here(self, exchange: Exchange) -> Result[LiveAnswer, Failure]:
-        """Run a request that another instance forwarded, on a target admitted here."""
-        runtime = self.runtime_by_service[exchange.service.name]
-        if self._poison.is_poisonous(exchange.fingerprint):
-            detail = "this request has crashed targets"
-            return Err(Failure.not_run(Reason.POISONOUS, detail))
-        return await self._try_local(exchange, runtime, _Progress())
-
     async def forward_to_owner(
         self, exchange: Exchange, owner: Identity
     ) -> Result[LiveAnswer, Failure]:
@@ -160,12 +170,15 @@
         home = (exchange.home_region, exchange.home_domain)
         local = self._finder.local(runtime.slots, catalogue, *home)
         fresh_local = local.name not in progress.tried_places
+        if progress.reach is Reach.HERE:
+            return local
         if fresh_local and runtime.policy.is_good_enough(local, service.objective):
             return local
         places = [
             place
             for place in self._finder.elsewhere(service.name, catalogue, *home)
             if place.name not in progress.tried_places
+            and (progress.reach is Reach.ANYWHERE or place.kind is PlaceKind.PEER)
         ]
         if fresh_local and local.total > 0:
             places.append(local)
@@ -208,17 +221,23 @@
         )
 
     def _may_retry(
-        self, exchange: Exchange, runtime: ServiceRuntime, place: Place, failure: Failure
+        self,
+        exchange: Exchange,
+        runtime: ServiceRuntime,
+        place: Place,
+        progress: _Progress,
+        failure: Failure,
     ) -> bool:
-        if failure.reason in (Reason.DEADLINE, Reason.POISONOUS):
+        if failure.reason in _FINAL_REASONS or progress.crashes >= CRASH_LIMIT:
             return False
         if failure.outcome is not Outcome.NOT_RUN and not exchange.is_safe:
             return False
         if not exchange.may_resend:
             return False
-        if place.kind is PlaceKind.LOCAL and failure.reason in _FREE_TO_RETRY:
+        costs_nothing = place.kind is PlaceKind.LOCAL or progress.reach is Reach.DOMAIN
+        if costs_nothing and failure.reason in _FREE_TO_RETRY:
             return True
-        if not runtime.budget.try_retry():
+        if progress.reach is not Reach.ANYWHERE or not runtime.budget.try_retry():
             return False
         self._metrics.retries.labels(exchange.service.name).inc()
         return True
@@ -228,6 +247,7 @@
     async def _try_local(
         self, exchange: Exchange, runtime: ServiceRuntime, progress: _Progress
     ) -> Result[LiveAnswer, Failure]:
+        """Take a slot here and run on its target; a place whose targets were all tried is done."""
         slots = runtime.slots
         wait = min(exchange.service.queue_seconds, exchange.deadline - time.monotonic())
         taken = await slots.take(wait, frozenset(progress.tried_targets))
@@ -242,6 +262,8 @@
                 return Err(Failure.not_run(Reason.SHIFT_CAP, "the shift cap is used up"))
             self._metrics.moved.inc()
         progress.tried_targets.add(state.target.key)
+        if progress.tried_targets.issuperset(slots.usable_targets()):
+            progress.tried_places.add(self._own.instance)
         return await self._run_on_target(exchange, slots, state)
 
     async def _run_on_target(
@@ -286,8 +308,7 @@
     ) -> Result[LiveAnswer, Failure]:
         """Take the answer's head into the target's health; turn a shed request into a failure."""
         if live.head.get(exchange.service.shed_header) is not None:
-            state.health.failed()
-            slots.eject_if_allowed(state)
+            state.health.shed(time.monotonic())
             live.finish(False)
             return Err(Failure.not_run(Reason.TARGET_SHED, f"{state.target.name} shed it"))
         if live.head.status >= SERVER_ERROR:
@@ -347,7 +368,8 @@
         outstanding = self._finder.outstanding_by_place
         outstanding[place.name] = outstanding.get(place.name, 0) + 1
         try:
-            return await self._forward(exchange, identity, self._hop(exchange, HopKind.EXECUTE))
+            hop = self._hop(exchange, _HOP_BY_PLACE[place.kind])
+            return await self._forward(exchange, identity, hop)
         finally:
             outstanding[place.name] -= 1
 
--- a/src/cassiashore/_internal/routing/health.py
+++ b/src/cassiashore/_internal/routing/health.py
@@ -8,6 +8,7 @@
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 MAX_EJECTED_SHARE = 0.5
+SHED_PAUSE_SECONDS = 0.25
 LATENCY_WEIGHT = 0.2
 SLOW_START_SECONDS = 3.0
 DEFAULT_LATENCY_SECONDS = 0.005
@@ -21,6 +22,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     ramp_from: float = float("-inf")
+    shed_until: float = 0.0
     latency: float = DEFAULT_LATENCY_SECONDS
 
     def succeeded(self, latency: float) -> None:
@@ -42,10 +44,18 @@
         self.ejected_until = now + seconds
         self.ramp_from = self.ejected_until
 
+    def shed(self, now: float) -> None:
+        """Take in that the target shed a request: send it nothing for a moment."""
+        self.shed_until = now + SHED_PAUSE_SECONDS
+
     def is_ejected(self, now: float) -> bool:
         """Tell whether the target is ejected."""
         return now < self.ejected_until
 
+    def is_resting(self, now: float) -> bool:
+        """Tell whether the target gets no requests now, ejected or shedding."""
+        return now < self.ejected_until or now < self.shed_until
+
     def start_slowly(self, now: float) -> None:
         """Begin a slow start, as for a target that is new or cold."""
         self.ramp_from = now
--- a/src/cassiashore/_internal/standins/target.py
+++ b/src/cassiashore/_internal/standins/target.py
@@ -14,13 +14,15 @@
 
 import msgspec
 
+from cassiashore._internal.proxy.handler import CONNECTION_KEY
+
 Scope = dict[str, Any]
 
 
 class TargetBehaviour(msgspec.Struct):
     """What a target does. Times are in milliseconds.
 
-    ``crash_on`` is a request body that makes the target drop every open connection.
+    ``crash_on`` is a request body that makes the target drop the connection without an answer.
     """
 
     service_ms: float = 5.0
@@ -113,7 +115,8 @@
         try:
             if behaviour.crash_on and behaviour.crash_on.encode() in body:
                 counts.crashes += 1
-                raise ConnectionResetError("the request crashed the target")
+                scope[CONNECTION_KEY].transport.abort()
+                return
             if not await self._work(receive):
                 counts.cancelled += 1
                 return
--- /dev/null
+++ b/tests/functional/test_store_faults.py
@@ -0,0 +1,149 @@
+"""Outages, slowness and lost answers of the store, and racing operators."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from lab.client import Reply, call
+from lab.deployment import Deployment, DeploymentOptions
+from lab.processes import wait_until
+from tests.lib import builders
+from tests.lib.steps import get, in_domain, post, runs_of
+
+IN_FORCE_SECONDS = 12.0
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[Deployment]:
+    options = DeploymentOptions(instances_per_domain=2)
+    with Deployment(builders.small_deployment_document(), options) as deployment:
+        yield deployment
+
+
+@pytest.fixture(autouse=True)
+def healthy_store(running: Deployment) -> Iterator[None]:
+    yield
+    running.set_store_faults()
+    wait_until(lambda: history_answers(running), IN_FORCE_SECONDS)
+
+
+def history_answers(running: Deployment) -> bool:
+    reply = running.operate(running.any_running().name, "GET", "/v1/catalogue/history")
+    return reply.status == 200
+
+
+def changed(running: Deployment, mbit: int) -> dict[str, Any]:
+    return {**running.catalogue, "link_mbit": mbit}
+
+
+def versions(running: Deployment) -> set[int]:
+    return {running.status(instance.name)["version"] for instance in running.running()}
+
+
+def test_an_accepted_change_is_in_force_everywhere(running: Deployment) -> None:
+    assert running.publish(changed(running, 3_001)).status == 200
+    assert wait_until(lambda: versions(running) == {running.version}, IN_FORCE_SECONDS)
+
+
+def test_of_two_racing_operators_one_wins_and_the_other_learns_of_it(running: Deployment) -> None:
+    base = running.version
+    replies: list[Reply] = []
+
+    def publish(mbit: int) -> None:
+        name = list(running.instance_by_name)[mbit % 2]
+        path = f"/v1/catalogue?base={base}&change=race-{base}-{mbit}&author=op{mbit}"
+        import json
+
+        body = json.dumps(changed(running, mbit)).encode()
+        replies.append(running.operate(name, "PUT", path, body))
+
+    threads = [threading.Thread(target=publish, args=(3_100 + n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    verdicts = sorted(reply.json()["verdict"] for reply in replies)
+    assert verdicts == ["accepted"] + ["conflict"] * 5
+    running.version = base + 1
+    assert wait_until(lambda: versions(running) == {base + 1}, IN_FORCE_SECONDS)
+
+
+def test_a_change_whose_answer_was_lost_is_accepted_once(running: Deployment) -> None:
+    base = running.version
+    running.set_store_faults(lose_answers=2)
+    reply = running.publish(changed(running, 3_200))
+    assert reply.json()["verdict"] == "accepted"
+    assert running.version == base + 1
+    name = running.any_running().name
+    history = running.operate(name, "GET", "/v1/catalogue/history").json()
+    assert [c["version"] for c in history["changes"]].count(base + 1) == 1
+
+
+def test_an_outage_refuses_changes_and_serving_goes_on(running: Deployment) -> None:
+    running.set_store_faults(down=True)
+    base = running.version
+    reply = running.publish(changed(running, 3_300))
+    assert reply.json()["verdict"] == "rejected"
+    for instance in running.running():
+        assert get(instance, "/outage").outcome == "ran"
+    assert versions(running) == {base}
+
+
+def test_an_own_idempotency_key_in_an_outage_is_not_called_not_run(running: Deployment) -> None:
+    running.set_store_faults(down=True)
+    headers = {"idempotency-key": "outage-key", "x-request-id": "outage-key"}
+    reply = post(running.any_running(), b"pay", headers)
+    assert (reply.status, reply.outcome) == (503, "unknown")
+    assert runs_of(running, "outage-key") == 0
+    running.set_store_faults()
+    replies = [post(instance, b"pay", headers) for instance in running.running()]
+    assert replies[0].outcome == "ran"
+    assert runs_of(running, "outage-key") == 1
+
+
+def test_a_claim_whose_answer_was_lost_is_recognised(running: Deployment) -> None:
+    headers = {"idempotency-key": "lost-claim", "x-request-id": "lost-claim"}
+    first = running.any_running()
+    post(first, b"warm", {"idempotency-key": "warm-up"})
+    running.set_store_faults(lose_answers=1)
+    for instance in running.running():
+        assert post(instance, b"pay", headers).outcome == "ran"
+    assert runs_of(running, "lost-claim") == 1
+
+
+def test_an_instance_born_in_an_outage_serves_the_newest_version(running: Deployment) -> None:
+    running.publish(changed(running, 3_400))
+    assert wait_until(lambda: versions(running) == {running.version}, IN_FORCE_SECONDS)
+    running.set_store_faults(down=True)
+    newborn = in_domain(running, "erie-b")[1]
+    assert newborn.process is not None
+    newborn.process.kill()
+    running.start_instance(newborn.name)
+
+    def serves() -> bool:
+        try:
+            return running.status(newborn.name)["version"] == running.version
+        except OSError:
+            return False
+
+    assert wait_until(serves, IN_FORCE_SECONDS)
+    assert get(newborn, "/newborn").outcome == "ran"
+
+
+def test_a_slow_store_does_not_slow_requests(running: Deployment) -> None:
+    running.set_store_faults(delay_ms=800)
+    for instance in running.running():
+        started = time.monotonic()
+        assert get(instance, "/slow").outcome == "ran"
+        assert time.monotonic() - started < 0.8
+
+
+def test_operator_calls_need_the_key(running: Deployment) -> None:
+    address = running.any_running().address
+    for method, path in (("GET", "/v1/status"), ("PUT", "/v1/catalogue?base=0")):
+        assert call(address, method, path, b"{}").status == 401
--- /dev/null
+++ b/tests/functional/test_target_faults.py
@@ -0,0 +1,188 @@
+"""Targets that drain, shed, fail, mislead, or crash on a request."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from lab.client import Reply
+from lab.deployment import Deployment, DeploymentOptions
+from lab.processes import wait_until
+from tests.lib import builders
+from tests.lib.steps import (
+    ERIE_CALLER,
+    BackgroundLoad,
+    get,
+    in_domain,
+    post,
+    runs_of,
+    set_all_targets,
+    ticket_of,
+    total,
+)
+
+DRAIN_SECONDS = 5.0
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[Deployment]:
+    options = DeploymentOptions(instances_per_domain=1)
+    with Deployment(builders.small_deployment_document(), options) as deployment:
+        yield deployment
+
+
+@pytest.fixture(autouse=True)
+def healthy_targets(running: Deployment) -> Iterator[None]:
+    yield
+    set_all_targets(
+        running,
+        shed=False,
+        error_share=0.0,
+        draining=False,
+        truncate=False,
+        crash_on="",
+        health_lies=False,
+        service_ms=5.0,
+    )
+    time.sleep(0.8)
+
+
+def started(running: Deployment, target: dict[str, Any]) -> int:
+    count: int = running.target_counts(target["address"])["started"]
+    return count
+
+
+def expect_no_new_work(running: Deployment, target: dict[str, Any]) -> None:
+    """Wait out the time that a drain may take, then check that nothing more starts."""
+    instances = in_domain(running, "erie-a")
+    with BackgroundLoad(lambda n, t: get(instances[0], f"/{n}/{t}"), threads=4) as load:
+        time.sleep(DRAIN_SECONDS)
+        before = started(running, target)
+        time.sleep(1.0)
+        after = started(running, target)
+    assert before == after
+    assert {reply.outcome for reply in load.replies} == {"ran"}
+
+
+def test_a_target_that_says_it_drains_gets_no_new_work(running: Deployment) -> None:
+    target = running.targets("stock", "erie-a")[0]
+    running.set_target(target["address"], draining=True)
+    expect_no_new_work(running, target)
+
+
+def test_a_target_drained_by_operators_gets_no_new_work(running: Deployment) -> None:
+    target = running.targets("stock", "erie-a")[1]
+    drains = [{"kind": "target", "name": target["name"], "service": "stock"}]
+    assert running.publish({**running.catalogue, "drains": drains}).status == 200
+    expect_no_new_work(running, target)
+    assert running.publish({**running.catalogue, "drains": []}).status == 200
+    seen = started(running, target)
+    entry = in_domain(running, "erie-a")[0]
+    assert wait_until(
+        lambda: get(entry, "/back").outcome == "ran" and started(running, target) > seen, 10.0
+    )
+
+
+def test_a_failure_domain_drains_and_its_callers_are_passed_on(running: Deployment) -> None:
+    drains = [{"kind": "failure_domain", "name": "erie-a"}]
+    assert running.publish({**running.catalogue, "drains": drains}).status == 200
+    for target in running.targets("stock", "erie-a"):
+        expect_no_new_work(running, target)
+    assert running.publish({**running.catalogue, "drains": []}).status == 200
+    assert wait_until(running.all_targets_admitted, 15.0, 0.2)
+
+
+def test_shed_requests_are_not_run_and_go_elsewhere(running: Deployment) -> None:
+    for target in running.targets("stock", "erie-a"):
+        running.set_target(target["address"], shed=True)
+    entry = in_domain(running, "erie-a")[0]
+    replies = [get(entry, f"/{n}") for n in range(10)]
+    assert [reply.outcome for reply in replies].count("ran") >= 9
+
+
+def test_a_refusal_that_says_not_run_is_true(running: Deployment) -> None:
+    set_all_targets(running, shed=True)
+    entry = in_domain(running, "erie-a")[0]
+    headers = {"cassiashore-request-key": ticket_of(running, entry) + ".1"}
+    headers["x-request-id"] = "refused"
+    reply = post(entry, b"pay", headers)
+    assert (reply.status, reply.outcome) == (503, "not-run")
+    assert "retry-after" in reply.headers
+    set_all_targets(running, shed=False)
+    time.sleep(2.5)
+    again = post(entry, b"pay", headers)
+    assert again.outcome == "not-run"
+    assert runs_of(running, "refused") == 0
+
+
+def test_a_cut_answer_is_never_a_short_whole_one(running: Deployment) -> None:
+    set_all_targets(running, truncate=True)
+    entry = in_domain(running, "erie-a")[0]
+    for number in range(5):
+        try:
+            reply: Reply | None = get(entry, f"/{number}")
+        except OSError:
+            reply = None
+        assert reply is None or reply.status >= 500
+
+
+def test_a_failing_target_is_ejected_although_its_health_endpoint_lies(
+    running: Deployment,
+) -> None:
+    bad = running.targets("stock", "erie-a")[0]
+    running.set_target(bad["address"], error_share=1.0, health_lies=True)
+    entry = in_domain(running, "erie-a")[0]
+    statuses = [get(entry, f"/{number}").status for number in range(60)]
+    assert statuses[-10:].count(500) <= 1
+    assert statuses.count(500) <= 12
+
+
+def test_a_request_that_crashes_targets_is_contained(running: Deployment) -> None:
+    set_all_targets(running, crash_on="boom")
+    crashes = total(running, "crashes")
+    entries = running.running()
+    outcomes = []
+    for number in range(12):
+        entry = entries[number % len(entries)]
+        key = f"{ticket_of(running, entry)}.{number}"
+        outcomes.append(post(entry, b"boom", {"cassiashore-request-key": key}))
+    hit = total(running, "crashes") - crashes
+    assert hit <= 3
+    assert {reply.reason for reply in outcomes[-6:]} == {"poisonous"}
+    assert {get(entry, "/healthy").outcome for entry in entries} == {"ran"}
+
+
+def test_slots_and_connections_hold_under_overload(running: Deployment) -> None:
+    set_all_targets(running, service_ms=40)
+    entries = running.running()
+    with BackgroundLoad(lambda n, t: get(entries[n % 3], f"/{n}/{t}"), threads=60) as load:
+        time.sleep(3.0)
+    outcomes = {reply.outcome for reply in load.replies}
+    assert outcomes <= {"ran", "not-run"}
+    assert total(running, "over_slots") == 0
+
+
+def test_a_callers_cancellation_reaches_the_target(running: Deployment) -> None:
+    import socket
+
+    set_all_targets(running, service_ms=900)
+    entry = in_domain(running, "erie-a")[0]
+    host, _, port = entry.address.rpartition(":")
+    cancelled = total(running, "cancelled")
+    with socket.create_connection((host, int(port)), source_address=(ERIE_CALLER, 0)) as caller:
+        caller.sendall(b"GET /services/stock/slow HTTP/1.1\r\nhost: x\r\n\r\n")
+        time.sleep(0.3)
+    assert wait_until(lambda: total(running, "cancelled") > cancelled, 0.5)
+
+
+def test_a_deadline_is_kept(running: Deployment) -> None:
+    from lab.client import call
+
+    set_all_targets(running, service_ms=900)
+    entry = in_domain(running, "erie-a")[0]
+    headers = {"cassiashore-deadline-ms": "200"}
+    reply = call(entry.address, "GET", "/services/stock/x", None, headers, ERIE_CALLER)
+    assert (reply.status, reply.outcome, reply.reason) == (504, "unknown", "deadline")
