--- a/src/cassiashore/_internal/admission/rights.py
+++ b/src/cassiashore/_internal/admission/rights.py
@@ -56,6 +56,19 @@
     claimed: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class GivenRights:
+    """Rights that were given up for a member.
+
+    ``receiver_revision`` is the newest revision of the receiver that the sender has seen;
+    ``sender_revision`` is the sender's own after giving up.
+    """
+
+    receiver_revision: int
+    sender_revision: int
+    targets: list[str]
+
+
 _NOTHING = Report(-1, frozenset(), frozenset())
 
 
@@ -86,6 +99,7 @@
         self.right_by_target: dict[str, Right] = {}
         self.claim_by_target: dict[str, Claim] = {}
         self.revision = 0
+        self._dropped_at_revision = 0
         self._in_flight = in_flight
         self._promise_by_target: dict[str, Promise] = {}
         self._report_by_member: dict[str, Report] = {}
@@ -123,11 +137,11 @@
     ) -> None:
         """Take in what a member holds and claims, unless a newer report was seen.
 
-        A promise ends when the member holds the target, or when a report newer than the promise
-        shows that it neither holds nor claims it. Should both hold a target, which takes a cut
+        A promise ends with a report newer than it that shows no claim: the member holds the target,
+        or withdrew. Should both hold a target, which takes a cut
         inside the failure domain and a wrong instance list, the larger incarnation gives it up.
         """
-        if revision < self._report_by_member.get(member, _NOTHING).revision:
+        if revision < self._known_revision(member):
             return
         report = Report(revision, frozenset(held), frozenset(claimed))
         self._report_by_member[member] = report
@@ -135,10 +149,8 @@
             self._withdraw(target)
             self._yield_if_contested(target, member)
         for target, promise in list(self._promise_by_target.items()):
-            if promise.member != member:
-                continue
-            withdrawn = revision > promise.revision and target not in report.claimed
-            if target in report.held or withdrawn:
+            is_newer = promise.member == member and revision > promise.revision
+            if is_newer and target not in report.claimed:
                 del self._promise_by_target[target]
 
     def member_ended(self, member: str) -> None:
@@ -152,8 +164,13 @@
 
     # Claims.
 
-    def claim(self, wanted: Iterable[str]) -> list[str]:
-        """Begin or repeat claims for targets that nobody is known to hold; return those to ask."""
+    def claim(self, wanted: Iterable[str], running: Iterable[str]) -> list[str]:
+        """Begin or repeat claims for targets that nobody is known to hold; return those to ask.
+
+        ``running`` are the members that are not known to have ended; each must have reported.
+        """
+        if not self.members_reported(running):
+            return []
         asked = []
         for target in wanted:
             if target in self.right_by_target or target in self._promise_by_target:
@@ -172,7 +189,7 @@
         Of two claimants of one target, the one with the smaller incarnation goes first; the other
         withdraws its own claim when asked.
         """
-        if revision < self._report_by_member.get(claimant, _NOTHING).revision:
+        if revision < self._known_revision(claimant):
             return []
         return [target for target in targets if self._agree_to(target, claimant, revision)]
 
@@ -207,30 +224,48 @@
         if right is not None:
             right.handing_to = NOBODY
 
-    def finish_hand_overs(self) -> dict[str, list[str]]:
-        """Give up rights whose own requests have ended; return the targets by receiver."""
-        given: dict[str, list[str]] = {}
+    def finish_hand_overs(self) -> dict[str, GivenRights]:
+        """Give up rights whose own requests have ended; return them by receiver."""
+        targets_by_receiver: dict[str, list[str]] = {}
         for target, right in list(self.right_by_target.items()):
             if not right.handing_to or self._in_flight(target) > 0:
                 continue
-            known = self._report_by_member.get(right.handing_to, _NOTHING)
-            self._promise_by_target[target] = Promise(right.handing_to, known.revision)
+            receiver_revision = self._known_revision(right.handing_to)
+            self._promise_by_target[target] = Promise(right.handing_to, receiver_revision)
             del self.right_by_target[target]
             self.revision += 1
-            given.setdefault(right.handing_to, []).append(target)
-        return given
-
-    def receive_hand_over(self, sender: str, targets: Iterable[str], now: float) -> list[str]:
+            targets_by_receiver.setdefault(right.handing_to, []).append(target)
+        return {
+            receiver: GivenRights(self._known_revision(receiver), self.revision, targets)
+            for receiver, targets in targets_by_receiver.items()
+        }
+
+    def receive_hand_over(
+        self,
+        sender: str,
+        given: GivenRights,
+        running: Iterable[str],
+        now: float,
+    ) -> list[str]:
         """Take rights that a member passed on; return those taken, which can be used at once.
 
-        A right that was promised to somebody else, or that somebody else holds, is not taken: the
-        message was overtaken.
+        A message that was overtaken is not obeyed: one from before a pause of this instance, during
+        which the sender may have given it up; one older than the sender's newest report; and one
+        for a target that was promised to or is held by another. Nor is one obeyed before each
+        running member has reported: one that does not know this instance may claim without its
+        agreement.
         """
+        if given.receiver_revision < self._dropped_at_revision:
+            return []
+        if given.sender_revision < self._known_revision(sender):
+            return []
+        if not self.members_reported(running):
+            return []
         taken = []
-        for target in targets:
+        for target in given.targets:
             if target in self._promise_by_target or target in self.right_by_target:
                 continue
-            if self.holder_known(target) not in (NOBODY, sender):
+            if self._held_by_other_than(sender, target):
                 continue
             self._withdraw(target)
             self.right_by_target[target] = Right(now)
@@ -246,6 +281,11 @@
         """Give up every right and claim at once, after a pause; promises to others stay."""
         self.right_by_target.clear()
         self.claim_by_target.clear()
+        self.touch()
+        self._dropped_at_revision = self.revision
+
+    def touch(self) -> None:
+        """Make the next report newer than every message that members sent before it."""
         self.revision += 1
 
     def forget_missing(self, known: frozenset[str]) -> None:
@@ -259,10 +299,17 @@
         promises = self._promise_by_target
         self._promise_by_target = {t: p for t, p in promises.items() if t in known}
 
+    def _held_by_other_than(self, member: str, target: str) -> bool:
+        reports = self._report_by_member.items()
+        return any(target in report.held for name, report in reports if name != member)
+
+    def _known_revision(self, member: str) -> int:
+        return self._report_by_member.get(member, _NOTHING).revision
+
     def _agree_to(self, target: str, claimant: str, revision: int) -> bool:
         if target in self.right_by_target:
             return False
-        if self.holder_known(target) not in (NOBODY, claimant):
+        if self._held_by_other_than(claimant, target):
             return False
         promise = self._promise_by_target.get(target)
         if promise is not None and promise.member != claimant:
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -278,6 +278,7 @@
         return OwnState(
             leaving=self._is_stopping or draining,
             ready=self.is_ready(),
+            settled=self.cluster.steward.is_settled(),
             version=self.keeper.version,
             key_slot=self.key_slot(),
             holds_revision=self.rights.revision,
--- a/src/cassiashore/_internal/http/guard.py
+++ b/src/cassiashore/_internal/http/guard.py
@@ -15,6 +15,7 @@
 from cassiashore._internal.proxy.handler import CONNECTION_KEY
 
 _MAX_LENGTH_DIGITS = 15
+_HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 
 def _refusal(status: str, text: str) -> bytes:
@@ -26,6 +27,7 @@
 
 HEAD_TOO_LARGE = _refusal("431 Request Header Fields Too Large", "the request head is too large")
 HEAD_TOO_SLOW = _refusal("408 Request Timeout", "the request head came too slowly")
+UNKNOWN_VERSION = _refusal("400 Bad Request", "the HTTP version is not supported")
 AMBIGUOUS_LENGTH = _refusal("400 Bad Request", "the length of the body is ambiguous")
 TOO_MANY_CONNECTIONS = _refusal("503 Service Unavailable", "too many connections")
 
@@ -87,6 +89,9 @@
         self._in_head = False
         self._head_bytes = 0
         self._stop_head_timer()
+        if self.parser.get_http_version() not in _HTTP_VERSIONS:
+            self._refuse(UNKNOWN_VERSION)
+            return
         if self._length_is_ambiguous():
             self._refuse(AMBIGUOUS_LENGTH)
             return
--- a/src/cassiashore/_internal/peers/gossip.py
+++ b/src/cassiashore/_internal/peers/gossip.py
@@ -31,6 +31,7 @@
 
     leaving: bool
     ready: bool
+    settled: bool
     version: int
     key_slot: int
     holds_revision: int
@@ -184,6 +185,7 @@
             sequence=self._sequence,
             leaving=state.leaving,
             ready=state.ready,
+            settled=state.settled,
             version=state.version,
             key_slot=state.key_slot,
             holds_revision=state.holds_revision,
--- a/src/cassiashore/_internal/peers/membership.py
+++ b/src/cassiashore/_internal/peers/membership.py
@@ -63,6 +63,7 @@
     state: MemberState = MemberState.JOINING
     ready: bool = False
     leaving: bool = False
+    settled: bool = False
     version: int = 0
     key_slot: int = 0
     loads: list[ServiceLoad] = field(default_factory=list)
@@ -112,6 +113,7 @@
         member.heard_at = now
         member.ready = heartbeat.ready
         member.leaving = heartbeat.leaving
+        member.settled = heartbeat.settled
         member.version = max(member.version, heartbeat.version)
         member.key_slot = heartbeat.key_slot
         if heartbeat.loads is not None:
@@ -140,9 +142,15 @@
                 self._move(member, Evidence.SILENCE)
 
     def resume_after_pause(self, now: float) -> None:
-        """Give every member a new silence period, since the own clock stood still for them."""
+        """Give every member a new silence period, since the own clock stood still for them.
+
+        Members that were given up as lost count as running again: while this instance was paused
+        they may have come back, and may have given this one up.
+        """
         for member in self.member_by_incarnation.values():
             member.heard_at = now
+            if member.state is MemberState.LOST:
+                member.state = MemberState.JOINING
 
     def running(self) -> list[Member]:
         """Return the members that are not known to have ended."""
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -53,6 +53,7 @@
 class Heartbeat(_Message, frozen=True, tag=3):
     """Tells that an instance is running, and its state.
 
+    ``settled`` tells that every member that it knows has reported to it, so it may be given rights.
     ``key_slot`` is the current time slot of its request keys. ``holds_revision`` counts changes
     of the targets that it holds. ``loads`` is None when nothing changed since the last heartbeat.
     """
@@ -60,6 +61,7 @@
     sequence: int
     leaving: bool
     ready: bool
+    settled: bool
     version: int
     key_slot: int
     holds_revision: int
@@ -89,8 +91,14 @@
 
 
 class HandOver(_Message, frozen=True, tag=7):
-    """Passes the admission right of targets to the receiver; the sender no longer holds them."""
+    """Passes the admission right of targets to the receiver; the sender no longer holds them.
 
+    ``receiver_revision`` is the newest revision of the receiver that the sender has seen;
+    ``sender_revision`` is the sender's own after giving up.
+    """
+
+    receiver_revision: int
+    sender_revision: int
     targets: list[str]
 
 
--- a/src/cassiashore/_internal/peers/steward.py
+++ b/src/cassiashore/_internal/peers/steward.py
@@ -5,7 +5,12 @@
 import logging
 from collections.abc import Callable
 
-from cassiashore._internal.admission.rights import NOBODY, AdmissionRights, preferred_holder
+from cassiashore._internal.admission.rights import (
+    NOBODY,
+    AdmissionRights,
+    GivenRights,
+    preferred_holder,
+)
 from cassiashore._internal.catalogue.index import Catalogue
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.peers.link import PeerLink
@@ -63,9 +68,10 @@
         if self.catalogue is None:
             return
         self._start_hand_overs()
-        for receiver, targets in self._rights.finish_hand_overs().items():
-            self._mesh.send(receiver, HandOver(targets))
-            self._decisions.write("hand_over", targets=targets, to=receiver)
+        for receiver, given in self._rights.finish_hand_overs().items():
+            message = HandOver(given.receiver_revision, given.sender_revision, given.targets)
+            self._mesh.send(receiver, message)
+            self._decisions.write("hand_over", targets=given.targets, to=receiver)
         self._claim()
         self._settle()
         self.report_changes()
@@ -78,8 +84,13 @@
         self._mesh.broadcast(self._mesh.links_in_domain(), self._report())
 
     def greet(self, link: PeerLink) -> None:
-        """Tell a newly linked member what is held and claimed."""
+        """Tell a newly linked member what is held and claimed.
+
+        The report is newer than whatever was lost with an earlier link.
+        """
+        self._rights.touch()
         link.send(self._report())
+        self.report_changes()
 
     def on_holds(self, member: str, message: Holds) -> None:
         """Take in a member's report."""
@@ -101,10 +112,19 @@
 
     def on_hand_over(self, member: str, message: HandOver) -> None:
         """Take rights that a member passes on."""
-        taken = self._rights.receive_hand_over(member, message.targets, self._monotonic())
+        given = GivenRights(message.receiver_revision, message.sender_revision, message.targets)
+        now = self._monotonic()
+        taken = self._rights.receive_hand_over(member, given, self._running(), now)
         self._decisions.write("hold", targets=taken, why="hand-over")
         self.report_changes()
 
+    def is_settled(self) -> bool:
+        """Tell whether this instance may take rights: it knows, and is known to, every member."""
+        return self.may_claim and self._rights.members_reported(self._running())
+
+    def _running(self) -> list[str]:
+        return [member.identity.incarnation for member in self._membership.running()]
+
     def _eligible(self) -> list[str]:
         own = self._membership.own
         catalogue = self.catalogue
@@ -118,7 +138,8 @@
             identity = member.identity
             linked = identity.incarnation in self._mesh.link_by_incarnation
             draining = catalogue.instance_is_draining(identity.instance, own.failure_domain)
-            if linked and member.ready and not member.leaving and not draining:
+            takes_rights = member.ready and member.settled and not member.leaving
+            if linked and takes_rights and not draining:
                 eligible.append(identity.incarnation)
         return eligible
 
@@ -127,14 +148,14 @@
         own = self._membership.own.incarnation
         for target in self._rights.held():
             preferred = preferred_holder(target, eligible) or own
-            if preferred == own:
+            if preferred == own or not self._rights.members_reported([preferred]):
                 self._rights.cancel_hand_over(target)
             else:
                 self._rights.start_hand_over(target, preferred)
 
     def _claim(self) -> None:
-        running = [member.identity.incarnation for member in self._membership.running()]
-        if not self.may_claim or self.leaving or not self._rights.members_reported(running):
+        running = self._running()
+        if not self.may_claim or self.leaving:
             return
         eligible = self._eligible()
         own = self._membership.own.incarnation
@@ -143,7 +164,7 @@
             for target in self._deadline_by_target
             if preferred_holder(target, eligible) == own
         ]
-        asked = self._rights.claim(wanted)
+        asked = self._rights.claim(wanted, running)
         self.report_changes()
         if asked:
             request = ClaimRequest(self._rights.revision, asked)
@@ -151,7 +172,6 @@
                 self._mesh.send(incarnation, request)
 
     def _settle(self) -> None:
-        running = [member.identity.incarnation for member in self._membership.running()]
         if not self.may_claim:
             return
         now = self._monotonic()
@@ -160,7 +180,7 @@
             deadline = self._deadline_by_target.get(target, 0.0)
             return now + deadline + QUARANTINE_MARGIN_SECONDS
 
-        won = self._rights.settle(running, usable_at)
+        won = self._rights.settle(self._running(), usable_at)
         if won:
             self._decisions.write("hold", targets=won, why="claim")
 
