--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -76,8 +76,12 @@
         self._plan_instances()
 
     def __enter__(self) -> Deployment:
-        """Start everything."""
-        self.start()
+        """Start everything; end what was started if that fails."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
         return self
 
     def __exit__(
@@ -93,18 +97,14 @@
 
     def start(self) -> None:
         """Start all processes, publish the catalogue and wait until requests are served."""
-        try:
-            self.start_store()
-            self.start_targets()
-            self.list_instances()
-            for instance in self.instance_by_name.values():
-                self.start_instance(instance.name)
-            self.wait_listening()
-            self.publish(self.catalogue)
-            self.wait_serving()
-        except BaseException:
-            self.stop()
-            raise
+        self.start_store()
+        self.start_targets()
+        self.list_instances()
+        for instance in self.instance_by_name.values():
+            self.start_instance(instance.name)
+        self.wait_listening()
+        self.publish(self.catalogue)
+        self.wait_serving()
 
     def stop(self) -> None:
         """End every process that this deployment started."""
--- a/lab/load.py
+++ b/lab/load.py
@@ -16,6 +16,7 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.http_client import Headers, HttpConnection, request_head
+from lab.network import NetworkModel
 
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 60_000_000
@@ -59,6 +60,8 @@
     reasons: Counter[str] = field(default_factory=Counter)
     wrong_details: list[str] = field(default_factory=list)
     not_run_ids: set[str] = field(default_factory=set)
+    name: str = ""
+    network: NetworkModel | None = None
 
     def percentile_ms(self, percentile: float) -> float:
         """Return a percentile of the latency in milliseconds."""
@@ -66,6 +69,9 @@
         return value / 1000
 
 
+Tried = tuple[str, str, float]
+
+
 class Caller:
     """Looks up instances, caches the answer for its TTL, and sends requests.
 
@@ -92,10 +98,12 @@
         result.requests += 1
         result.offered_weight += flow.weight
         outcome = reason = ""
+        travel_ms = 0.0
         for number in range(MAX_TRIES):
             self._numbers += 1
-            request_id = f"{self._source}-{self._rng.getrandbits(48):012x}-{self._numbers}"
-            outcome, reason = await self._try(flow, request_id, number)
+            drawn = f"{self._rng.getrandbits(48):012x}"
+            request_id = f"{result.name}-{self._source}-{drawn}-{self._numbers}".replace(" ", "_")
+            outcome, reason, travel_ms = await self._try(flow, request_id, number)
             result.tries += 1
             if outcome == "not-run":
                 result.not_run_ids.add(request_id)
@@ -103,7 +111,7 @@
             if outcome == "ran" or not may_repeat:
                 break
             await asyncio.sleep(RETRY_PAUSE_SECONDS * (number + 1))
-        self._count(flow, outcome, reason, started)
+        self._count(flow, outcome, reason, started, travel_ms)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -111,9 +119,11 @@
             for connection in connections:
                 connection.close()
 
-    def _count(self, flow: Flow, outcome: str, reason: str, started: float) -> None:
+    def _count(
+        self, flow: Flow, outcome: str, reason: str, started: float, travel_ms: float
+    ) -> None:
         result = self._result
-        microseconds = int((time.monotonic() - started) * 1e6)
+        microseconds = int((time.monotonic() - started) * 1e6 + travel_ms * 1e3)
         if outcome == "ran":
             result.answered += 1
             result.served_weight += flow.weight
@@ -125,10 +135,10 @@
         else:
             result.unknown += 1
 
-    async def _try(self, flow: Flow, request_id: str, number: int) -> tuple[str, str]:
+    async def _try(self, flow: Flow, request_id: str, number: int) -> Tried:
         instances = await self._instances(flow.service)
         if not instances:
-            return "not-run", "no-instance"
+            return "not-run", "no-instance", 0.0
         instance = instances[number % len(instances)]
         headers: Headers = [
             (b"host", b"lab"),
@@ -144,11 +154,11 @@
             async with asyncio.timeout(REQUEST_SECONDS):
                 return await self._exchange(flow, instance["address"], path, headers, body)
         except (TimeoutError, ConnectionLostError, OSError) as error:
-            return "unknown", f"transport: {type(error).__name__}"
+            return "unknown", f"transport: {type(error).__name__}", 0.0
 
     async def _exchange(
         self, flow: Flow, address: str, path: str, headers: Headers, body: bytes
-    ) -> tuple[str, str]:
+    ) -> Tried:
         connection = await self._connection(address)
         reusable = False
         try:
@@ -165,7 +175,10 @@
         reason = (head.get(b"cassiashore-reason") or b"").decode()
         if outcome == "ran" and not reason:
             self._check_answer(path, head.status, content)
-        return outcome or "unknown", reason
+        network = self._result.network
+        target = (head.get(b"cassiashore-served-by") or b"").decode()
+        travel_ms = network.round_trip_ms(self._source, address, target) if network else 0.0
+        return outcome or "unknown", reason, travel_ms
 
     def _check_answer(self, path: str, status: int, content: bytes) -> None:
         if status >= 500:
--- a/spec/rights.py
+++ b/spec/rights.py
@@ -387,7 +387,8 @@
 def one_holder(state: dict[str, Any]) -> bool:
     """Check that at most one running instance holds the right."""
     nodes = [state[f"node{name}"] for name in NAMES]
-    return sum(node.status == "up" and node.handing_to is not None for node in nodes) <= 1
+    holders = [node for node in nodes if node.status == "up" and node.handing_to is not None]
+    return len(holders) <= 1
 
 
 def build_model(bounds: Bounds, variant: Variant | None = None) -> Protocol:
