Do not forward to places without a free slot; buffer log records; widen the pause limit

Pauses count from 2.5 s, suspicion from 4 s; the settings check that the order holds. Ruled out: the client (its own processor use stayed below one core).

--- a/src/cassiashore/_internal/observability/logs.py
+++ b/src/cassiashore/_internal/observability/logs.py
@@ -1,23 +1,24 @@
 """JSON lines logging that never blocks the event loop.
 
-Records are put into a bounded queue and written by a thread. When the sink is slower than the
+Records are put into a bounded buffer and written by a thread. When the sink is slower than the
 records come, new lines are dropped and counted; requests do not wait for the log.
 """
 
 from __future__ import annotations
 
 import logging
-import logging.handlers
 import os
-import queue
 import sys
+import threading
 import time
+from collections import deque
 from typing import Any, TextIO
 
 import msgspec
 
 DECISION_LOGGER = "cassiashore.decisions"
 FIELDS_ATTRIBUTE = "fields"
+WRITE_INTERVAL_SECONDS = 0.05
 
 
 class JsonFormatter(logging.Formatter):
@@ -37,24 +38,22 @@
         return msgspec.json.encode(line).decode()
 
 
-class BoundedQueueHandler(logging.handlers.QueueHandler):
-    """Queue records for the writing thread; drop and count them when the queue is full."""
+class BufferHandler(logging.Handler):
+    """Buffer records for the writing thread; drop and count them when the buffer is full."""
 
-    def __init__(self, records: queue.Queue[logging.LogRecord]) -> None:
-        """Keep the queue."""
-        super().__init__(records)
+    def __init__(self, capacity: int) -> None:
+        """Create an empty buffer for ``capacity`` records."""
+        super().__init__()
         self.dropped = 0
+        self.records: deque[logging.LogRecord] = deque()
+        self._capacity = capacity
 
-    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
-        """Leave formatting to the writing thread."""
-        return record
-
-    def enqueue(self, record: logging.LogRecord) -> None:
-        """Put the record without waiting."""
-        try:
-            self.queue.put_nowait(record)
-        except queue.Full:
+    def emit(self, record: logging.LogRecord) -> None:
+        """Buffer the record without waiting."""
+        if len(self.records) >= self._capacity:
             self.dropped += 1
+            return
+        self.records.append(record)
 
 
 def _open_sink(file: str) -> TextIO:
@@ -65,16 +64,19 @@
 
 
 class LogPipeline:
-    """The queue and the writing thread of one process."""
+    """The buffer and the writing thread of one process.
+
+    The thread wakes at intervals and not for each record, so that logging a decision costs the
+    event loop no switch between threads.
+    """
 
     def __init__(self, file: str, level: str, buffer_lines: int) -> None:
         """Open the sink and install the handler on the root logger; ``-`` is standard output."""
         self._sink = _open_sink(file)
-        records: queue.Queue[logging.LogRecord] = queue.Queue(buffer_lines)
-        writer = logging.StreamHandler(self._sink)
-        writer.setFormatter(JsonFormatter())
-        self.handler = BoundedQueueHandler(records)
-        self._listener = logging.handlers.QueueListener(records, writer)
+        self._formatter = JsonFormatter()
+        self.handler = BufferHandler(buffer_lines)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="log writer", daemon=True)
         root = logging.getLogger()
         root.handlers[:] = [self.handler]
         root.setLevel(level)
@@ -83,12 +85,25 @@
 
     def start(self) -> None:
         """Start the writing thread."""
-        self._listener.start()
+        self._thread.start()
 
     def stop(self) -> None:
-        """Write what is queued and end the thread."""
-        self._listener.stop()
-        self._sink.flush()
+        """Write what is buffered and end the thread."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(WRITE_INTERVAL_SECONDS):
+            self._write_buffered()
+        self._write_buffered()
+
+    def _write_buffered(self) -> None:
+        records = self.handler.records
+        lines = [self._formatter.format(records.popleft()) for _ in range(len(records))]
+        if lines:
+            self._sink.write("\n".join(lines) + "\n")
+            self._sink.flush()
 
 
 class DecisionLog:
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -177,7 +177,8 @@
         places = [
             place
             for place in self._finder.elsewhere(service.name, catalogue, *home)
-            if place.name not in progress.tried_places
+            if place.free > 0
+            and place.name not in progress.tried_places
             and (progress.reach is Reach.ANYWHERE or place.kind is PlaceKind.PEER)
         ]
         if fresh_local and local.total > 0:
--- a/src/cassiashore/_internal/settings.py
+++ b/src/cassiashore/_internal/settings.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Self
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
 
 from cassiashore._internal.catalogue.schema import Name
 from cassiashore._internal.exceptions import InvalidFileError
 from cassiashore._internal.models.address import Address
 
 MIN_KEY_BYTES = 16
+HEARTBEATS_BEFORE_PAUSE = 2
 
 
 class _Model(BaseModel):
@@ -39,15 +40,26 @@
 class PeerSettings(_Model):
     """Timing of the peer protocol.
 
-    ``pause_ms`` must be well below ``suspect_ms``: an instance that was paused longer than
-    ``pause_ms`` gives up its rights by itself before another may take them over.
+    An instance that was paused longer than ``pause_ms`` gives up its rights by itself; another may
+    take them over only after ``suspect_ms`` of silence, counted from a heartbeat that may have been
+    sent up to two intervals before the pause.
     """
 
     heartbeat_ms: Annotated[int, Field(ge=50, le=60_000)] = 500
-    pause_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
-    suspect_ms: Annotated[int, Field(ge=200, le=300_000)] = 3_000
+    pause_ms: Annotated[int, Field(ge=100, le=60_000)] = 2_500
+    suspect_ms: Annotated[int, Field(ge=200, le=300_000)] = 4_000
     digest_ms: Annotated[int, Field(ge=100, le=60_000)] = 1_000
 
+    @model_validator(mode="after")
+    def _check_order(self) -> Self:
+        least = self.pause_ms + HEARTBEATS_BEFORE_PAUSE * self.heartbeat_ms
+        if self.suspect_ms < least:
+            raise ValueError(
+                f"suspect_ms must be at least pause_ms + {HEARTBEATS_BEFORE_PAUSE} heartbeat_ms"
+                f" ({least})"
+            )
+        return self
+
 
 class RequestSettings(_Model):
     """Limits on what callers may send and on the table of request keys."""
