--- /dev/null
+++ b/lab/mutations.py
@@ -0,0 +1,235 @@
+"""Shows that tests can fail: removes one mechanism at a time in a copy, and runs its test there.
+
+Each mutation names the file, the text that is replaced, and the test that must fail then.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+SOURCE = "src/cassiashore/_internal"
+TEST_SECONDS = 120
+COPIED = ("src", "lab", "spec", "tests", "examples", "pyproject.toml")
+INSTANCE_FAULTS = "tests/functional/test_instance_faults.py"
+STORE_FAULTS = "tests/functional/test_store_faults.py"
+TARGET_FAULTS = "tests/functional/test_target_faults.py"
+THIN_PATH = "tests/functional/test_thin_path.py"
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A mechanism that is removed, and the test that must notice."""
+
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+MUTATIONS = [
+    Mutation(
+        "a refused connection proves that a member ended",
+        "peers/membership.py",
+        "Evidence.REFUSED: MemberState.DEAD",
+        "Evidence.REFUSED: MemberState.SUSPECTED",
+        f"{INSTANCE_FAULTS}::test_a_killed_instances_targets_are_taken_over",
+    ),
+    Mutation(
+        "a silent member keeps its rights while it is listed",
+        "peers/membership.py",
+        "Evidence.SILENCE: MemberState.SUSPECTED",
+        "Evidence.SILENCE: MemberState.LOST",
+        f"{INSTANCE_FAULTS}::test_a_paused_instance_keeps_its_targets_while_it_is_listed",
+    ),
+    Mutation(
+        "a pause makes an instance give up its rights",
+        "admission/pause.py",
+        "if elapsed > self._pause_seconds:",
+        "if False:",
+        f"{INSTANCE_FAULTS}::test_a_paused_instance_keeps_its_targets_while_it_is_listed",
+    ),
+    Mutation(
+        "only the owner runs a key",
+        "proxy/handler.py",
+        "elif key.incarnation == self._own.incarnation:",
+        "elif True:",
+        f"{INSTANCE_FAULTS}::test_a_key_of_a_dead_instance_is_never_run_again",
+    ),
+    Mutation(
+        "a resend is passed to the key's owner",
+        "proxy/handler.py",
+        "elif key.incarnation == self._own.incarnation:",
+        "elif True:",
+        f"{THIN_PATH}::test_a_resend_through_any_instance_repeats_the_first_answer",
+    ),
+    Mutation(
+        "a claim that stands names the owner",
+        "requests/claims.py",
+        "return _owner_of(written.err_value.current)",
+        "return Ok(Claimed(self._incarnation, slot))",
+        f"{THIN_PATH}::test_an_own_idempotency_key_runs_once_through_any_instance",
+    ),
+    Mutation(
+        "a planned stop waits for what is in flight",
+        "entry/node.py",
+        "        await self._wait_for_cached_answers(deadline)\n",
+        "        raise SystemExit(0)\n",
+        f"{INSTANCE_FAULTS}::test_a_planned_stop_cuts_off_nothing",
+    ),
+    Mutation(
+        "a change whose answer was lost is settled by its id",
+        "catalogue/publisher.py",
+        "any(change.change_id == change_id for change in current.changes)",
+        "False",
+        f"{STORE_FAULTS}::test_a_change_whose_answer_was_lost_is_accepted_once",
+    ),
+    Mutation(
+        "a change is made only from the version that stands",
+        "standins/store.py",
+        "if current.revision != expected:",
+        "if False:",
+        f"{STORE_FAULTS}::test_of_two_racing_operators_one_wins_and_the_other_learns_of_it",
+    ),
+    Mutation(
+        "an unsettled claim is not called not run",
+        "requests/claims.py",
+        "return Err(Failure.unknown(Reason.STORE_UNREACHABLE, detail))",
+        "return Err(Failure.not_run(Reason.STORE_UNREACHABLE, detail))",
+        f"{STORE_FAULTS}::test_an_own_idempotency_key_in_an_outage_is_not_called_not_run",
+    ),
+    Mutation(
+        "versions spread over peer streams",
+        "entry/cluster.py",
+        "        link.send(CatalogueManifest(bundle.manifest))\n",
+        "        return\n",
+        f"{STORE_FAULTS}::test_an_instance_born_in_an_outage_serves_the_newest_version",
+    ),
+    Mutation(
+        "operators' drains stop new work",
+        "admission/slots.py",
+        "return self.draining or self.leaving or self.listed_leaving",
+        "return self.leaving or self.listed_leaving",
+        f"{TARGET_FAULTS}::test_a_target_drained_by_operators_gets_no_new_work",
+    ),
+    Mutation(
+        "a target's own word stops new work",
+        "admission/slots.py",
+        "return self.draining or self.leaving or self.listed_leaving",
+        "return self.draining or self.listed_leaving",
+        f"{TARGET_FAULTS}::test_a_target_that_says_it_drains_gets_no_new_work",
+    ),
+    Mutation(
+        "a refusal closes its key",
+        "requests/ledger.py",
+        "        record.state = KeyState.FAILED\n        record.failure = failure\n",
+        "        if failure.outcome is Outcome.NOT_RUN:\n"
+        "            self._records_by_slot[record.slot].clear()\n"
+        "        record.failure = failure\n",
+        f"{TARGET_FAULTS}::test_a_refusal_that_says_not_run_is_true",
+    ),
+    Mutation(
+        "an answer that ends early closes the connection",
+        "net/http_client.py",
+        "            if self._error is not None:\n                raise ConnectionLostError",
+        "            if self._error is not None:\n                return None\n"
+        "                raise ConnectionLostError",
+        f"{TARGET_FAULTS}::test_a_cut_answer_is_never_a_short_whole_one",
+    ),
+    Mutation(
+        "requests that crash targets are refused",
+        "requests/poison.py",
+        "CRASH_LIMIT = 2",
+        "CRASH_LIMIT = 1000",
+        f"{TARGET_FAULTS}::test_a_request_that_crashes_targets_is_contained",
+    ),
+    Mutation(
+        "targets are ejected by outcomes of requests",
+        "routing/health.py",
+        "EJECT_AFTER_FAILURES = 5",
+        "EJECT_AFTER_FAILURES = 5000",
+        f"{TARGET_FAULTS}::test_a_failing_target_is_ejected_although_its_health_endpoint_lies",
+    ),
+    Mutation(
+        "slots are counted",
+        "admission/slots.py",
+        "if state.in_flight < state.limit(service.utilisation, now)",
+        "if state.in_flight < 2 * state.limit(service.utilisation, now)",
+        f"{TARGET_FAULTS}::test_slots_and_connections_hold_under_overload",
+    ),
+    Mutation(
+        "a caller's end cancels its request",
+        "proxy/handler.py",
+        "            connection.on_lost = task.cancel\n",
+        "            pass\n",
+        f"{TARGET_FAULTS}::test_a_callers_cancellation_reaches_the_target",
+    ),
+    Mutation(
+        "a right brings its part of the shift cap after a window",
+        "admission/shift.py",
+        "_Part(right, share, now + self._window.seconds)",
+        "_Part(right, share, now)",
+        "tests/unit/test_limits.py::test_the_shift_cap_holds_in_the_sum_while_rights_move",
+    ),
+    Mutation(
+        "a version is activated only upward",
+        "catalogue/keeper.py",
+        "if bundle.manifest.version <= self.version:",
+        "if bundle.manifest.version < 0:",
+        "tests/unit/test_catalogue.py::test_an_older_version_is_not_activated",
+    ),
+]
+
+
+def notices(mutation: Mutation) -> bool:
+    """Run the mutation's test in a copy that has the mutation; tell whether it fails."""
+    with tempfile.TemporaryDirectory(prefix="mutant-") as folder:
+        copy = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name, ignore=shutil.ignore_patterns("*.egg-info"))
+            else:
+                shutil.copy(source, copy / name)
+        file = copy / SOURCE / mutation.file
+        text = file.read_text()
+        if mutation.old not in text:
+            raise ValueError(f'"{mutation.old}" does not occur in {mutation.file}')
+        file.write_text(text.replace(mutation.old, mutation.new))
+        environment = {**os.environ, "PYTHONPATH": f"{copy / 'src'}{os.pathsep}{copy}"}
+        command = [sys.executable, "-m", "pytest", "-x", "-q", mutation.test]
+        try:
+            done = subprocess.run(
+                command, cwd=copy, env=environment, capture_output=True, timeout=TEST_SECONDS
+            )
+        except subprocess.TimeoutExpired:
+            return True
+        return done.returncode == 1
+
+
+def main() -> None:
+    """Run all mutations, or those whose mechanism contains a text."""
+    parser = argparse.ArgumentParser(prog="python -m lab.mutations", description=__doc__)
+    parser.add_argument("--only", default="")
+    only = parser.parse_args().only
+    survivors = 0
+    for mutation in MUTATIONS:
+        if only not in mutation.mechanism:
+            continue
+        failed = notices(mutation)
+        survivors += not failed
+        verdict = "fails without it" if failed else "STILL PASSES"
+        print(f"{verdict}: {mutation.mechanism} ({mutation.test})", flush=True)
+    raise SystemExit(1 if survivors else 0)
+
+
+if __name__ == "__main__":
+    main()
