Reuse connections to targets; make the cost of a choice independent of the number of targets

Cause 1: after the end of a response the parser no longer says that the connection may be kept, so every request opened a new one. It is asked when the message ends. Cause 2: each request summed up all targets of its service several times. Totals are kept for 10 ms and the search for candidates ends after 12. Cause 3: small ones: look-up of the caller's home and of metric series, a wait for bodies that cannot come.

--- a/src/cassiashore/_internal/admission/slots.py
+++ b/src/cassiashore/_internal/admission/slots.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import chain
 
 from result import Err, Ok, Result
 
@@ -43,11 +44,23 @@
         return self.in_flight / self.limit(1.0, now)
 
 
+@dataclass(frozen=True, slots=True)
+class Totals:
+    """Free slots, all slots, and the mean answer time in seconds of a service's usable targets."""
+
+    free: int
+    total: int
+    latency: float
+
+
 @dataclass(slots=True)
 class _Waiter:
     future: asyncio.Future[TargetState]
 
 
+MAX_CANDIDATES = 12
+TOTALS_SECONDS = 0.01
+
 Chooser = Callable[[list[TargetState]], TargetState]
 
 
@@ -73,6 +86,10 @@
         self._check_pause = check_pause
         self._monotonic = monotonic
         self._waiters: deque[_Waiter] = deque()
+        self._states: list[tuple[str, TargetState]] = []
+        self._first = 0
+        self._totals = Totals(0, 0, 0.0)
+        self._totals_at = float("-inf")
 
     def update(self, service: Service, catalogue: Catalogue, failure_domain: str) -> None:
         """Apply a catalogue version; a target with other limits or address starts anew."""
@@ -91,48 +108,54 @@
             state.target = target
             state.connections.limit = target.connections
             state.draining = catalogue.target_is_draining(target)
+        self._states = list(self.state_by_target.items())
+        self._totals_at = float("-inf")
         self.wake_waiters()
 
     def free(self) -> list[TargetState]:
-        """Return the targets to which a request may be sent now."""
+        """Return targets to which a request may be sent now, at most ``MAX_CANDIDATES``.
+
+        The search begins at the next target each time, so its cost does not grow with the number
+        of targets unless most are busy.
+        """
         service = self.service
-        if service is None:
+        if service is None or not self._states:
             return []
         self._check_pause()
         now = self._monotonic()
-        return [
-            state
-            for key, state in self.state_by_target.items()
-            if state.in_flight < state.limit(service.utilisation, now)
-            and self._is_usable(key, state, now)
-        ]
+        self._first = (self._first + 1) % len(self._states)
+        found: list[TargetState] = []
+        for key, state in chain(self._states[self._first :], self._states[: self._first]):
+            if state.in_flight >= state.limit(service.utilisation, now):
+                continue
+            if self._is_usable(key, state, now):
+                found.append(state)
+                if len(found) == MAX_CANDIDATES:
+                    break
+        return found
 
     def usable_targets(self) -> list[str]:
         """Return the keys of the targets in use, whether or not they have a free slot."""
         now = self._monotonic()
         return [k for k, state in self.state_by_target.items() if self._is_usable(k, state, now)]
 
-    def totals(self) -> tuple[int, int]:
-        """Return the free slots and all slots that may be used now."""
-        service = self.service
-        if service is None:
-            return 0, 0
+    def totals(self) -> Totals:
+        """Sum up the targets that may be used, as they were at most ``TOTALS_SECONDS`` ago."""
         now = self._monotonic()
-        free = total = 0
-        for key, state in self.state_by_target.items():
-            if not self._is_usable(key, state, now):
-                continue
-            limit = state.limit(service.utilisation, now)
-            total += limit
-            free += max(0, limit - state.in_flight)
-        return free, total
-
-    def mean_latency(self) -> float:
-        """Return the mean answer time of the held targets in seconds."""
-        held = [s for k, s in self.state_by_target.items() if k in self._rights.right_by_target]
-        if not held:
-            return 0.0
-        return sum(state.health.latency for state in held) / len(held)
+        if now - self._totals_at >= TOTALS_SECONDS:
+            self._totals = self._sum_up(now)
+            self._totals_at = now
+        return self._totals
+
+    def _sum_up(self, now: float) -> Totals:
+        service = self.service
+        usable = [s for key, s in self._states if self._is_usable(key, s, now)]
+        if service is None or not usable:
+            return Totals(0, 0, 0.0)
+        limits = [state.limit(service.utilisation, now) for state in usable]
+        free = sum(max(0, limit - s.in_flight) for limit, s in zip(limits, usable, strict=True))
+        latency = sum(state.health.latency for state in usable) / len(usable)
+        return Totals(free, sum(limits), latency)
 
     @property
     def queued(self) -> int:
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -423,8 +423,9 @@
             self._set_link_rates(self.keeper.catalogue)
         loads = []
         for name, runtime in sorted(self.runner.runtime_by_service.items()):
-            free, total = runtime.slots.totals()
-            latency_ms = round(runtime.slots.mean_latency() * 1000, 1)
-            loads.append(ServiceLoad(name, free, total, runtime.slots.queued, latency_ms))
+            totals = runtime.slots.totals()
+            latency_ms = round(totals.latency * 1000, 1)
+            queued = runtime.slots.queued
+            loads.append(ServiceLoad(name, totals.free, totals.total, queued, latency_ms))
         self._loads = loads
         return loads
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -58,6 +58,7 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._head_done = False
         self._complete = False
+        self._keep_alive = False
         self._expects_body = True
         self._error: str | None = None
         self.bytes_sent = 0
@@ -134,6 +135,7 @@
         """Mark the response as whole; an interim response is none."""
         if self._head_done:
             self._complete = True
+            self._keep_alive = self._parser.should_keep_alive()
             self._wake_body()
 
     # Interface of the caller.
@@ -152,7 +154,7 @@
     @property
     def reusable(self) -> bool:
         """Tell whether the last exchange is over and another may follow."""
-        return self.usable and self._complete and self._parser.should_keep_alive()
+        return self.usable and self._complete and self._keep_alive
 
     def start_exchange(self, head: bytes, *, expects_body: bool = True) -> None:
         """Send a request head; raise ``ConnectionLostError`` if the connection is closed.
@@ -166,6 +168,7 @@
         self._head_bytes = 0
         self._head_done = False
         self._complete = False
+        self._keep_alive = False
         self._expects_body = expects_body
         self._chunks.clear()
         self._buffered = 0
--- a/src/cassiashore/_internal/proxy/handler.py
+++ b/src/cassiashore/_internal/proxy/handler.py
@@ -37,6 +37,7 @@
 CONNECTION_KEY = "cassiashore.connection"
 MAX_IDEMPOTENCY_KEY_BYTES = 256
 
+_BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 _REACH_BY_HOP = {
     HopKind.EXECUTE: Reach.HERE,
     HopKind.PLACE: Reach.DOMAIN,
@@ -122,7 +123,7 @@
             method=scope["method"],
             path=rest,
             headers=headers,
-            body=BodySource(receive, service.max_body_bytes, self._body_idle_seconds),
+            body=self._body_source(headers, receive, service.max_body_bytes),
             content_length=length,
             deadline=time.monotonic() + _deadline_seconds(headers, service.max_deadline_seconds),
             client=client,
@@ -131,6 +132,14 @@
         )
         return self._read_hop(exchange)
 
+    def _body_source(
+        self, headers: list[tuple[bytes, bytes]], receive: Receive, max_bytes: int
+    ) -> BodySource:
+        body = BodySource(receive, max_bytes, self._body_idle_seconds)
+        has_body = any(name in _BODY_HEADERS for name, _ in headers)
+        body.whole = not has_body
+        return body
+
     def _read_hop(self, exchange: Exchange) -> Result[Exchange, Failure]:
         value = names.header(exchange.headers, names.HOP)
         if value is None:
@@ -340,7 +349,7 @@
     def _count(self, service: str, outcome: str, reason: str) -> None:
         catalogue = self._keeper.catalogue
         known = catalogue is not None and service in catalogue.service_by_name
-        self._metrics.requests.labels(service if known else "unknown", outcome, reason).inc()
+        self._metrics.count_request(service if known else "unknown", outcome, reason)
 
 
 def _split_path(scope: Scope) -> tuple[str, str]:
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -206,7 +206,7 @@
     ) -> None:
         service = exchange.service.name
         result = "answered" if isinstance(outcome, Ok) else outcome.err_value.reason.value
-        self._metrics.attempts.labels(service, place.kind.value, result).inc()
+        self._metrics.count_attempt(service, place.kind.value, result)
         self._decisions.write(
             "route",
             service=service,
@@ -263,9 +263,10 @@
                 return Err(Failure.not_run(Reason.SHIFT_CAP, "the shift cap is used up"))
             self._metrics.moved.inc()
         progress.tried_targets.add(state.target.key)
-        if progress.tried_targets.issuperset(slots.usable_targets()):
+        outcome = await self._run_on_target(exchange, slots, state)
+        if isinstance(outcome, Err) and progress.tried_targets.issuperset(slots.usable_targets()):
             progress.tried_places.add(self._own.instance)
-        return await self._run_on_target(exchange, slots, state)
+        return outcome
 
     async def _run_on_target(
         self, exchange: Exchange, slots: ServiceSlots, state: TargetState
@@ -317,7 +318,7 @@
                 slots.eject_if_allowed(state)
         else:
             state.health.succeeded(seconds)
-        self._metrics.latency.labels(exchange.service.name).observe(seconds)
+        self._metrics.observe_latency(exchange.service.name, seconds)
         if self.catalogue is not None and self._is_other_region(exchange):
             region = exchange.home_region
             live.pace = lambda size: self._links.delay_for(region, size)
--- a/src/cassiashore/_internal/routing/finder.py
+++ b/src/cassiashore/_internal/routing/finder.py
@@ -62,7 +62,7 @@
         self, slots: ServiceSlots, catalogue: Catalogue, home_region: str, home_domain: str
     ) -> Place:
         """Describe this instance as a place."""
-        free, total = slots.totals()
+        totals = slots.totals()
         domain = self._own.failure_domain
         return Place(
             kind=PlaceKind.LOCAL,
@@ -71,10 +71,10 @@
             region=catalogue.region_by_failure_domain.get(domain, ""),
             address=None,
             round_trip=0.0,
-            free=free,
-            total=total,
+            free=totals.free,
+            total=totals.total,
             queued=slots.queued,
-            latency=slots.mean_latency(),
+            latency=totals.latency,
             is_move=self._is_move(catalogue, domain, home_region, home_domain),
         )
 
--- a/src/cassiashore/_internal/routing/lookup.py
+++ b/src/cassiashore/_internal/routing/lookup.py
@@ -25,6 +25,7 @@
 IPV4_BLOCK_BITS = 24
 IPV6_BLOCK_BITS = 56
 SUMMARY_SECONDS = 0.25
+MAX_HOMES_KEPT = 10_000
 
 COMFORT_BY_OBJECTIVE = {Objective.LATENCY: 0.85, Objective.HEADROOM: 0.6}
 
@@ -125,9 +126,21 @@
         self._monotonic = monotonic
         self._rng = rng
         self._summaries: dict[str, _ServiceSummary] = {}
+        self._home_by_client: dict[str, tuple[str, str]] = {}
+        self._homes_version = 0
 
     def home_of(self, client: str) -> tuple[str, str]:
         """Return the home region and failure domain of a client address."""
+        version = self.catalogue.version if self.catalogue else 0
+        if version != self._homes_version or len(self._home_by_client) >= MAX_HOMES_KEPT:
+            self._home_by_client.clear()
+            self._homes_version = version
+        home = self._home_by_client.get(client)
+        if home is None:
+            home = self._home_by_client[client] = self._find_home(client)
+        return home
+
+    def _find_home(self, client: str) -> tuple[str, str]:
         catalogue = self.catalogue
         own_domain = self._own.failure_domain
         if catalogue is None:
