--- a/src/cassiashore/coordination.py
+++ b/src/cassiashore/coordination.py
@@ -22,6 +22,7 @@
 from cassiashore._internal.admission.rights import (
     AdmissionRights,
     GivenRights,
+    preferred_holder,
 )
 from cassiashore._internal.admission.window import SlidingWindow, TokenBucket
 from cassiashore._internal.catalogue.index import divide_by_weight
@@ -59,4 +60,5 @@
     "new_ticket",
     "policy",
     "policy_by_name",
+    "preferred_holder",
 ]
