Free the sender of its promise when a hand-over is not taken

Cause: of 52 targets of a failure domain with 29 instances one stayed without a holder for ever. Its old holder had passed it to a newcomer that could not take it yet, and kept its promise to it, since the newcomer's revision did not change. Ruled out: slow convergence (the other 51 had holders within 5 s), lost links.

--- a/src/cassiashore/_internal/admission/rights.py
+++ b/src/cassiashore/_internal/admission/rights.py
@@ -253,24 +253,18 @@
         which the sender may have given it up; one older than the sender's newest report; and one
         for a target that was promised to or is held by another. Nor is one obeyed before each
         running member has reported: one that does not know this instance may claim without its
-        agreement.
+        agreement. What is not taken is answered by a newer report, which frees the sender of its
+        promise.
         """
-        if given.receiver_revision < self._dropped_at_revision:
-            return []
-        if given.sender_revision < self._known_revision(sender):
-            return []
-        if not self.members_reported(running):
-            return []
-        taken = []
-        for target in given.targets:
-            if target in self._promise_by_target or target in self.right_by_target:
-                continue
-            if self._held_by_other_than(sender, target):
-                continue
+        taken: list[str] = []
+        if self._is_current(sender, given) and self.members_reported(running):
+            taken = [t for t in given.targets if self._is_free_to_take(sender, t)]
+        for target in taken:
             self._withdraw(target)
             self.right_by_target[target] = Right(now)
             self.revision += 1
-            taken.append(target)
+        if len(taken) < len(given.targets):
+            self.touch()
         report = self._report_by_member.get(sender)
         if report is not None:
             rest = report.held - frozenset(taken)
@@ -299,6 +293,16 @@
         promises = self._promise_by_target
         self._promise_by_target = {t: p for t, p in promises.items() if t in known}
 
+    def _is_current(self, sender: str, given: GivenRights) -> bool:
+        if given.receiver_revision < self._dropped_at_revision:
+            return False
+        return given.sender_revision >= self._known_revision(sender)
+
+    def _is_free_to_take(self, sender: str, target: str) -> bool:
+        if target in self._promise_by_target or target in self.right_by_target:
+            return False
+        return not self._held_by_other_than(sender, target)
+
     def _held_by_other_than(self, member: str, target: str) -> bool:
         reports = self._report_by_member.items()
         return any(target in report.held for name, report in reports if name != member)
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -139,3 +139,14 @@
     assert receiver.receive_hand_over("0", given_before, ["0"], 0.0) == []
     given_after = GivenRights(receiver.revision, sender_revision=2, targets=["orders/t0"])
     assert receiver.receive_hand_over("0", given_after, ["0"], 0.0) == ["orders/t0"]
+
+
+def test_a_hand_over_that_is_not_taken_frees_the_sender_of_its_promise() -> None:
+    sender, receiver = (AdmissionRights(name, lambda target: 0) for name in ("0", "1"))
+    sender.right_by_target["orders/t0"] = Right(0.0)
+    sender.member_reports("1", 0, [], [])
+    sender.start_hand_over("orders/t0", "1")
+    given_rights = sender.finish_hand_overs()["1"]
+    assert receiver.receive_hand_over("0", given_rights, ["0"], 0.0) == []
+    sender.member_reports("1", receiver.revision, receiver.held(), receiver.claimed())
+    assert sender.claim(["orders/t0"], ["1"]) == ["orders/t0"]
