Pass the platform's list on only when it changes; keep digests usable between longer intervals

Cause: both readers of a failure domain sent the whole list to every member every 2 s, 92 % of all control bytes with 29 members. And with 56 failure domains digests come every 7 s but counted as stale after 6 s; the limit now stretches with the interval (the new test failed before). Ruled out: heartbeats (16 messages a second of about 15 bytes).

--- a/src/cassiashore/_internal/entry/cluster.py
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -110,6 +110,7 @@
         self._pending: _PendingBundle | None = None
         self._wanted_at = float("-inf")
         self._greeted_by_members = False
+        self._passed_on: list[ListedInstance] = []
         self._on_listed: Callable[[frozenset[str]], None] = lambda addresses: None
         membership.subscribe(self._member_changed)
 
@@ -157,7 +158,7 @@
             await asyncio.sleep(self._peer_settings.digest_ms / 1000 * factor)
 
     async def run_instance_list(self) -> None:
-        """Read the platform's list if it is this instance's turn, and pass it to the members."""
+        """Read the platform's list if it is this instance's turn; pass changes to the members."""
         while True:
             if self.is_watcher() or self.gossip.listed is None:
                 listed = await self._store.list_instances()
@@ -165,7 +166,9 @@
                     self.gossip.listed = listed.ok_value
                     here = self._listed_here()
                     self._on_listed(_leaving_addresses(here))
-                    self.mesh.broadcast(self.mesh.links_in_domain(), InstanceList(here))
+                    if here != self._passed_on:
+                        self._passed_on = here
+                        self.mesh.broadcast(self.mesh.links_in_domain(), InstanceList(here))
             await asyncio.sleep(self._store_settings.instance_list_seconds)
 
     async def run_registration(self) -> None:
@@ -258,6 +261,8 @@
             link.send(message)
         for digest in self.gossip.known_digests():
             link.send(digest)
+        if self._passed_on:
+            link.send(InstanceList(self._passed_on))
         self.steward.greet(link)
 
     def link_down(self, link: PeerLink) -> None:
--- a/src/cassiashore/_internal/peers/gossip.py
+++ b/src/cassiashore/_internal/peers/gossip.py
@@ -22,7 +22,6 @@
 
 MAX_GATEWAYS = 4
 MEMBERS_PER_BASE_INTERVAL = 8
-DOMAINS_PER_BASE_INTERVAL = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,10 +71,6 @@
         members = len(self._membership.running()) + 1
         return max(1.0, members / MEMBERS_PER_BASE_INTERVAL)
 
-    def digest_factor(self) -> float:
-        """Return by how much the digest interval stretches with the number of failure domains."""
-        return max(1.0, len(self._domains.view_by_domain) / DOMAINS_PER_BASE_INTERVAL)
-
     # Inside the failure domain.
 
     def send_heartbeats(self) -> None:
@@ -146,6 +141,10 @@
             loads=_sum_loads([state.loads, *(member.loads for member in alive)]),
         )
 
+    def digest_factor(self) -> float:
+        """Return by how much the digest interval stretches with the number of failure domains."""
+        return self._domains.interval_factor()
+
     def known_digests(self) -> list[DomainDigest]:
         """Return the digests of other failure domains, for a newly linked member."""
         now = self._monotonic()
--- a/src/cassiashore/_internal/routing/domains.py
+++ b/src/cassiashore/_internal/routing/domains.py
@@ -7,6 +7,7 @@
 from cassiashore._internal.peers.messages import DomainDigest, Gateway, ServiceLoad
 
 STALE_SECONDS = 6.0
+DOMAINS_PER_BASE_INTERVAL = 8
 FORGET_SECONDS = 3600.0
 
 
@@ -48,10 +49,14 @@
         self.view_by_domain[digest.failure_domain] = DomainView(digest, made_at)
         return True
 
+    def interval_factor(self) -> float:
+        """Return by how much digest intervals stretch with the number of failure domains."""
+        return max(1.0, len(self.view_by_domain) / DOMAINS_PER_BASE_INTERVAL)
+
     def fresh(self, now: float) -> list[DomainView]:
         """Return the views that are recent enough to steer by."""
-        views = self.view_by_domain.values()
-        return [view for view in views if view.age(now) <= STALE_SECONDS]
+        limit = STALE_SECONDS * self.interval_factor()
+        return [view for view in self.view_by_domain.values() if view.age(now) <= limit]
 
     def gateways(self, now: float) -> list[Gateway]:
         """Return the instances of other failure domains that take requests."""
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -10,7 +10,9 @@
 from cassiashore._internal.admission.shift import ShiftLimiter
 from cassiashore._internal.admission.window import SlidingWindow, TokenBucket
 from cassiashore._internal.catalogue.index import divide_by_weight
+from cassiashore._internal.peers.messages import DomainDigest
 from cassiashore._internal.requests.retry import RetryBudget
+from cassiashore._internal.routing.domains import DomainTable
 from tests.lib import builders
 
 
@@ -161,3 +163,13 @@
     claimant.claim([], ["1"])
     member.member_reports("0", claimant.revision, claimant.held(), claimant.claimed())
     assert member.claim(["orders/t0"], ["0"]) == ["orders/t0"]
+
+
+def test_digests_of_many_failure_domains_stay_usable_between_their_longer_intervals() -> None:
+    table = DomainTable("d0")
+    for number in range(1, 56):
+        table.merge(DomainDigest(f"d{number}", 1, 0, [], []), 100.0)
+    interval = 1.0 * table.interval_factor()
+    assert interval > 6.0
+    assert len(table.fresh(100.0 + 3 * interval)) == 55
+    assert table.fresh(100.0 + 20 * interval) == []
