Lose the answer of the very write that a test is about; remove what is unused

The mutation run showed that the test of a lost answer passed without the mechanism: the lost answers were those of the catalogue's parts, not of the manifest. The stand-in now loses answers by key.

--- a/src/cassiashore/_internal/observability/logs.py
+++ b/src/cassiashore/_internal/observability/logs.py
@@ -10,7 +10,6 @@
 import os
 import sys
 import threading
-import time
 from collections import deque
 from typing import Any, TextIO
 
@@ -122,8 +121,3 @@
         )
         record.__dict__[FIELDS_ATTRIBUTE] = fields
         self._logger.handle(record)
-
-
-def seconds_since(start: float) -> float:
-    """Return the seconds since a monotonic time, rounded to microseconds for a log line."""
-    return round(time.monotonic() - start, 6)
--- a/src/cassiashore/_internal/routing/domains.py
+++ b/src/cassiashore/_internal/routing/domains.py
@@ -7,7 +7,7 @@
 from cassiashore._internal.peers.messages import DomainDigest, Gateway, ServiceLoad
 
 STALE_SECONDS = 6.0
-DOMAINS_PER_BASE_INTERVAL = 8
+DOMAINS_PER_BASE_INTERVAL = 7
 FORGET_SECONDS = 3600.0
 
 
--- a/src/cassiashore/_internal/standins/store.py
+++ b/src/cassiashore/_internal/standins/store.py
@@ -20,11 +20,15 @@
 
 
 class StoreFaults(msgspec.Struct):
-    """Faults that the stand-in shows. ``lose_answers`` counts writes whose answer is lost."""
+    """Faults that the stand-in shows.
+
+    ``lose_answers`` counts writes whose answer is lost, of keys that begin with ``lose_prefix``.
+    """
 
     down: bool = False
     delay_ms: float = 0.0
     lose_answers: int = 0
+    lose_prefix: str = ""
     list_lag_seconds: float = 0.0
 
 
@@ -102,7 +106,9 @@
             if state.faults.down:
                 return _answer(503, b"the store is down", 0)
         response = await handler(request)
-        is_write = request.method in ("PUT", "POST") and request.path.startswith("/v1/")
+        is_write = request.method in ("PUT", "POST") and request.path.startswith(
+            f"/v1/kv/{state.faults.lose_prefix}"
+        )
         if is_write and state.faults.lose_answers > 0:
             state.faults.lose_answers -= 1
             return _answer(503, b"the answer was lost", 0)
--- a/tests/functional/test_store_faults.py
+++ b/tests/functional/test_store_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import threading
 import time
 from collections.abc import Iterator
@@ -57,8 +58,6 @@
     def publish(mbit: int) -> None:
         name = list(running.instance_by_name)[mbit % 2]
         path = f"/v1/catalogue?base={base}&change=race-{base}-{mbit}&author=op{mbit}"
-        import json
-
         body = json.dumps(changed(running, mbit)).encode()
         replies.append(running.operate(name, "PUT", path, body))
 
@@ -75,7 +74,7 @@
 
 def test_a_change_whose_answer_was_lost_is_accepted_once(running: Deployment) -> None:
     base = running.version
-    running.set_store_faults(lose_answers=2)
+    running.set_store_faults(lose_answers=1, lose_prefix="catalogue/manifest")
     reply = running.publish(changed(running, 3_200))
     assert reply.json()["verdict"] == "accepted"
     assert running.version == base + 1
@@ -110,7 +109,7 @@
     headers = {"idempotency-key": "lost-claim", "x-request-id": "lost-claim"}
     first = running.any_running()
     post(first, b"warm", {"idempotency-key": "warm-up"})
-    running.set_store_faults(lose_answers=1)
+    running.set_store_faults(lose_answers=1, lose_prefix="claims/")
     for instance in running.running():
         assert post(instance, b"pay", headers).outcome == "ran"
     assert runs_of(running, "lost-claim") == 1
