Cut chunked answers too in the test of incomplete answers

The mutation run showed that the test passed without this system's own check: for an answer with a declared length the server library refuses to end it early. For a chunked one it does not.

--- a/src/cassiashore/_internal/standins/target.py
+++ b/src/cassiashore/_internal/standins/target.py
@@ -34,6 +34,7 @@
     reported_load: float = -1.0
     answer_bytes: int = 64
     truncate: bool = False
+    chunked: bool = False
     cold_requests: int = 0
     cold_ms: float = 0.0
     crash_on: str = ""
@@ -147,9 +148,9 @@
         body = msgspec.json.encode(report)
         body += b" " * max(0, behaviour.answer_bytes - len(body))
         if behaviour.truncate:
-            length = str(len(body) + 10).encode()
-            start = {"type": "http.response.start", "status": status}
-            await send({**start, "headers": [(b"content-length", length)]})
+            length = (b"content-length", str(len(body) + 10).encode())
+            headers = [] if behaviour.chunked else [length]
+            await send({"type": "http.response.start", "status": status, "headers": headers})
             await send({"type": "http.response.body", "body": body, "more_body": True})
             raise ConnectionResetError("the answer is cut short")
         extra = [(b"connection", b"close")] if behaviour.draining else []
--- a/tests/functional/test_target_faults.py
+++ b/tests/functional/test_target_faults.py
@@ -43,6 +43,7 @@
         error_share=0.0,
         draining=False,
         truncate=False,
+        chunked=False,
         crash_on="",
         health_lies=False,
         service_ms=5.0,
@@ -118,8 +119,9 @@
     assert runs_of(running, "refused") == 0
 
 
-def test_a_cut_answer_is_never_a_short_whole_one(running: Deployment) -> None:
-    set_all_targets(running, truncate=True)
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_cut_answer_is_never_a_short_whole_one(running: Deployment, chunked: bool) -> None:
+    set_all_targets(running, truncate=True, chunked=chunked)
     entry = in_domain(running, "erie-a")[0]
     for number in range(5):
         try:
