--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -161,8 +161,8 @@
     Mutation(
         "slots are counted",
         "admission/slots.py",
-        "if state.in_flight < state.limit(service.utilisation, now)",
-        "if state.in_flight < 2 * state.limit(service.utilisation, now)",
+        "if state.in_flight >= state.limit(service.utilisation, now):",
+        "if state.in_flight >= 2 * state.limit(service.utilisation, now):",
         f"{TARGET_FAULTS}::test_slots_and_connections_hold_under_overload",
     ),
     Mutation(
