Refuse a request whose service left the catalogue meanwhile; split a long method

Found in reading: a request whose body was still being read when its service left the catalogue ended in a KeyError (500). It is now refused as not run. Not covered by a test.

--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -363,6 +363,14 @@
         self.lookups.catalogue = catalogue
         self.cluster.steward.update(catalogue)
         self.shift.update(catalogue)
+        self._update_services(catalogue)
+        self._loads_at = float("-inf")
+        self._set_link_rates(catalogue)
+        self._decisions.write("activate", version=catalogue.version)
+        self.cluster.catalogue_changed()
+
+    def _update_services(self, catalogue: Catalogue) -> None:
+        """Keep what is known of services that stay, and build what new ones need."""
         runtimes = self.runner.runtime_by_service
         for name in [n for n in runtimes if n not in catalogue.service_by_name]:
             del runtimes[name]
@@ -379,10 +387,6 @@
             runtime.policy = policy
             runtime.slots.choose = policy.choose_target
             runtime.slots.update(service, catalogue, self.own.failure_domain)
-        self._loads_at = float("-inf")
-        self._set_link_rates(catalogue)
-        self._decisions.write("activate", version=catalogue.version)
-        self.cluster.catalogue_changed()
 
     def _set_link_rates(self, catalogue: Catalogue) -> None:
         own_region = catalogue.region_by_failure_domain.get(self.own.failure_domain)
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -125,7 +125,10 @@
 
     async def run(self, exchange: Exchange, reach: Reach) -> Result[LiveAnswer, Failure]:
         """Run the request; the failure tells what is known of the whole request."""
-        runtime = self.runtime_by_service[exchange.service.name]
+        runtime = self.runtime_by_service.get(exchange.service.name)
+        if runtime is None:
+            detail = f'service "{exchange.service.name}" has left the catalogue'
+            return Err(Failure.not_run(Reason.UNKNOWN_SERVICE, detail))
         if self._poison.is_poisonous(exchange.fingerprint):
             detail = "this request has crashed targets"
             return Err(Failure.not_run(Reason.POISONOUS, detail))
