--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -84,6 +84,7 @@
     reach: Reach
     tried_places: set[str] = field(default_factory=set)
     tried_targets: set[str] = field(default_factory=set)
+    candidates: list[str] = field(default_factory=list)
     crashes: int = 0
     failure: Failure | None = None
 
@@ -173,6 +174,7 @@
         home = (exchange.home_region, exchange.home_domain)
         local = self._finder.local(runtime.slots, catalogue, *home)
         fresh_local = local.name not in progress.tried_places
+        progress.candidates = [local.name]
         if progress.reach is Reach.HERE:
             return local
         if fresh_local and runtime.policy.is_good_enough(local, service.objective):
@@ -187,6 +189,7 @@
         if fresh_local and local.total > 0:
             places.append(local)
         ordered = runtime.policy.order_places(places, service.objective)
+        progress.candidates = [place.name for place in ordered]
         return ordered[0] if ordered else None
 
     async def _try_place(
@@ -197,13 +200,14 @@
             outcome = await self._try_local(exchange, runtime, progress)
         else:
             outcome = await self._try_elsewhere(exchange, place, progress)
-        self._record(exchange, place, outcome, time.monotonic() - started)
+        self._record(exchange, place, progress, outcome, time.monotonic() - started)
         return outcome
 
     def _record(
         self,
         exchange: Exchange,
         place: Place,
+        progress: _Progress,
         outcome: Result[LiveAnswer, Failure],
         seconds: float,
     ) -> None:
@@ -214,6 +218,7 @@
             "route",
             service=service,
             version=self.catalogue.version if self.catalogue else 0,
+            candidates=progress.candidates,
             place=place.name,
             kind=place.kind.value,
             free=place.free,
--- a/tests/functional/test_thin_path.py
+++ b/tests/functional/test_thin_path.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import json
+
 from lab.client import call
 from lab.deployment import Deployment
+from lab.processes import wait_until
 
 ERIE_CALLER = "127.1.0.1"
 HURON_CALLER = "127.2.0.1"
@@ -24,6 +27,21 @@
     assert reply.json()["path"] == "/a/b"
 
 
+def test_each_routing_decision_is_logged_with_its_candidates(deployment: Deployment) -> None:
+    entry = deployment.any_running()
+    assert call(entry.address, "GET", "/services/stock/log", source=ERIE_CALLER).status == 200
+    log = deployment.folder / f"{entry.name}.log"
+
+    def decisions() -> list[dict[str, object]]:
+        lines = [json.loads(line) for line in log.read_text().splitlines()]
+        return [line for line in lines if line["event"] == "route"]
+
+    assert wait_until(lambda: len(decisions()) > 0, 5.0)
+    last = decisions()[-1]
+    assert last["place"] in list(last["candidates"])  # type: ignore[call-overload]
+    assert last["version"] == deployment.version
+
+
 def test_a_large_body_streams_to_the_target(deployment: Deployment) -> None:
     entry = deployment.any_running()
     body = b"x" * 1_000_000
