--- a/src/cassiashore/_internal/admission/window.py
+++ b/src/cassiashore/_internal/admission/window.py
@@ -25,6 +25,11 @@
             times.popleft()
         return len(times)
 
+    def add(self, now: float) -> None:
+        """Record an event without a limit."""
+        self.count(now)
+        self._times.append(now)
+
     def try_add(self, now: float, limit: int) -> bool:
         """Record an event if fewer than ``limit`` are in the window; tell whether it was."""
         if self.count(now) >= limit:
--- a/src/cassiashore/_internal/entry/prober.py
+++ b/src/cassiashore/_internal/entry/prober.py
@@ -17,7 +17,7 @@
 from cassiashore._internal.admission.slots import TargetState
 from cassiashore._internal.catalogue.index import Service
 from cassiashore._internal.exceptions import ConnectionLostError
-from cassiashore._internal.net.http_client import connect, request_head
+from cassiashore._internal.net.http_client import request_head
 from cassiashore._internal.proxy.runner import ServiceRuntime
 
 logger = logging.getLogger(__name__)
@@ -79,20 +79,24 @@
 
 
 async def _fetch_report(service: Service, state: TargetState) -> HealthReport | None:
-    """Ask a target over a connection of its own; None when it gives no usable answer."""
-    opened = await connect(state.target.address, PROBE_TIMEOUT_SECONDS)
+    """Ask a target over one of its pooled connections; None when it gives no usable answer."""
+    opened = await state.connections.acquire(connect_timeout=PROBE_TIMEOUT_SECONDS)
     if isinstance(opened, Err):
         return None
     connection = opened.ok_value
+    whole = False
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-            host = str(state.target.address).encode()
-            headers = [(b"host", host), (b"connection", b"close")]
+            headers = [(b"host", str(state.target.address).encode())]
             connection.start_exchange(request_head("GET", service.health_path, headers))
             await connection.response_head()
             body = await connection.read_all(MAX_REPORT_BYTES)
+            whole = True
         return msgspec.json.decode(body, type=HealthReport)
     except (TimeoutError, ConnectionLostError, msgspec.DecodeError):
         return None
     finally:
-        connection.close()
+        if whole:
+            state.connections.release(connection)
+        else:
+            state.connections.discard(connection)
--- a/src/cassiashore/_internal/http/guard.py
+++ b/src/cassiashore/_internal/http/guard.py
@@ -12,11 +12,9 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from cassiashore._internal.http.framing import head_fault
 from cassiashore._internal.proxy.handler import CONNECTION_KEY
 
-_MAX_LENGTH_DIGITS = 15
-_HTTP_VERSIONS = frozenset({"1.0", "1.1"})
-
 
 def _refusal(status: str, text: str) -> bytes:
     return (
@@ -27,8 +25,6 @@
 
 HEAD_TOO_LARGE = _refusal("431 Request Header Fields Too Large", "the request head is too large")
 HEAD_TOO_SLOW = _refusal("408 Request Timeout", "the request head came too slowly")
-UNKNOWN_VERSION = _refusal("400 Bad Request", "the HTTP version is not supported")
-AMBIGUOUS_LENGTH = _refusal("400 Bad Request", "the length of the body is ambiguous")
 TOO_MANY_CONNECTIONS = _refusal("503 Service Unavailable", "too many connections")
 
 
@@ -89,11 +85,9 @@
         self._in_head = False
         self._head_bytes = 0
         self._stop_head_timer()
-        if self.parser.get_http_version() not in _HTTP_VERSIONS:
-            self._refuse(UNKNOWN_VERSION)
-            return
-        if self._length_is_ambiguous():
-            self._refuse(AMBIGUOUS_LENGTH)
+        fault = head_fault(self.parser.get_http_version(), self.headers)
+        if fault is not None:
+            self._refuse(_refusal("400 Bad Request", fault))
             return
         cast(dict[str, Any], self.scope)[CONNECTION_KEY] = self
         super().on_headers_complete()
@@ -116,15 +110,6 @@
             return
         self._refuse(_refusal("400 Bad Request", msg))
 
-    def _length_is_ambiguous(self) -> bool:
-        lengths = [value for name, value in self.headers if name == b"content-length"]
-        encodings = [value for name, value in self.headers if name == b"transfer-encoding"]
-        if len(lengths) > 1 or len(encodings) > 1 or (lengths and encodings):
-            return True
-        if encodings and encodings[0].lower() != b"chunked":
-            return True
-        return bool(lengths) and not (lengths[0].isdigit() and len(lengths[0]) < _MAX_LENGTH_DIGITS)
-
     def _start_head_timer(self) -> None:
         self._head_timer = self.loop.call_later(self.header_seconds, self._head_is_late)
 
@@ -139,6 +124,8 @@
             self._refuse(HEAD_TOO_SLOW)
 
     def _refuse(self, answer: bytes) -> None:
+        if self.transport.is_closing():
+            return
         self.transport.write(answer)
         self.transport.close()
 
--- /dev/null
+++ b/src/cassiashore/_internal/ingress/body.py
@@ -0,0 +1,98 @@
+"""The body of a request while it arrives."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+HIGH_WATER_BYTES = 256 * 1024
+
+
+class BodyError(Exception):
+    """Report that the rest of a body will not come."""
+
+
+class RequestBody:
+    """Pieces of a body, with backpressure towards the caller's connection.
+
+    The first part, up to what ``prefix`` is asked for, stays and can be sent again; the rest can be
+    read once.
+    """
+
+    def __init__(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        """Start empty; ``pause`` and ``resume`` control reading from the caller."""
+        self.is_complete = False
+        self.size = 0
+        self.is_streaming = False
+        self._pause = pause
+        self._resume = resume
+        self._pieces: deque[bytes] = deque()
+        self._buffered = 0
+        self._is_paused = False
+        self._fault: str | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Take in a piece."""
+        self.size += len(data)
+        self._buffered += len(data)
+        self._pieces.append(data)
+        if self._buffered > HIGH_WATER_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._pause()
+        self._wake()
+
+    def finish(self) -> None:
+        """Take in that the body is complete."""
+        self.is_complete = True
+        self._wake()
+
+    def fail(self, why: str) -> None:
+        """Take in that the rest will not come."""
+        if not self.is_complete and self._fault is None:
+            self._fault = why
+            self._wake()
+
+    async def prefix(self, limit: int) -> bytes:
+        """Wait for the whole body, or for at least ``limit`` bytes of a longer one.
+
+        Raise ``BodyError`` if it breaks off.
+        """
+        while not self.is_complete and self._buffered < limit:
+            await self._wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        self._release()
+        return data
+
+    async def next_piece(self) -> bytes | None:
+        """Return what came after the prefix, or None at the end; raise ``BodyError``."""
+        self.is_streaming = True
+        while not self._pieces:
+            if self.is_complete:
+                return None
+            await self._wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        self._release()
+        return data
+
+    def _release(self) -> None:
+        self._buffered = 0
+        if self._is_paused:
+            self._is_paused = False
+            self._resume()
+
+    async def _wait(self) -> None:
+        if self._fault is not None:
+            raise BodyError(self._fault)
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+        if self._fault is not None and not self.is_complete:
+            raise BodyError(self._fault)
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
--- /dev/null
+++ b/src/cassiashore/_internal/ingress/connection.py
@@ -0,0 +1,490 @@
+"""Server connections of callers: HTTP/1.1 with pipelining, on the ``httptools`` parser.
+
+Requests of one connection are handled side by side, and their answers are written in the order in
+which the requests came.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
+from http import HTTPStatus
+from typing import cast
+
+import httptools
+
+from cassiashore._internal.http.framing import head_fault
+from cassiashore._internal.ingress.body import RequestBody
+from cassiashore._internal.net.http_client import Headers, watch_for_silence
+from cassiashore._internal.steering.routes import IngressLimits
+
+logger = logging.getLogger(__name__)
+
+MAX_PIPELINED = 32  # requests of one connection at a time; reading stops beyond
+LINGER_SECONDS = 1.0  # a caller that still sends gets this long to read a refusal
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+_WITHOUT_BODY = frozenset({204, 304})
+
+
+@dataclass(slots=True)
+class IngressRequest:
+    """A request whose head has come. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: RequestBody
+    keep_alive: bool
+    version: str
+    received_at: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+Handler = Callable[[IngressRequest, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Writes the answer of one request when its turn has come."""
+
+    def __init__(self, connection: IngressConnection, request: IngressRequest) -> None:
+        """Create a responder that has written nothing."""
+        self.task: asyncio.Task[None] | None = None
+        self.is_started = False
+        self.is_finished = False
+        self._connection = connection
+        self._request = request
+        self._whole: bytes | None = None
+        self._closes = False
+        self._chunked = False
+        self._turn: asyncio.Future[None] | None = None
+
+    async def turn(self) -> None:
+        """Wait until all earlier requests of the connection are answered."""
+        if self._connection.is_first(self):
+            return
+        self._turn = asyncio.get_running_loop().create_future()
+        await self._turn
+
+    def send_whole(
+        self, status: int, headers: Headers, body: bytes, *, close: bool = False
+    ) -> None:
+        """Answer with a body that is at hand; the bytes go out when it is the request's turn."""
+        length = [] if status in _WITHOUT_BODY else [(b"content-length", str(len(body)).encode())]
+        head = self._head(status, [*headers, *length], close=close)
+        self._whole = head if self._request.method == "HEAD" else head + body
+        if self._connection.is_first(self):
+            self.flush()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Begin an answer of ``length`` bytes, or a chunked one; only in turn."""
+        old = self._request.version == "1.0"
+        self._chunked = length is None and not old
+        if length is not None:
+            headers = [*headers, (b"content-length", str(length).encode())]
+        elif self._chunked:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        head = self._head(status, headers, close=old and length is None)
+        self.is_started = True
+        self._connection.write(head)
+
+    async def write(self, data: bytes) -> None:
+        """Write a piece of the body, waiting while the caller reads too slowly."""
+        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End an answer that was started."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._complete()
+
+    def abort(self) -> None:
+        """Break the connection, so that a part is not taken for the whole."""
+        self.is_finished = True
+        self._connection.abort()
+
+    def flush(self) -> None:
+        """Write the answer that waits for its turn, if there is one."""
+        if self._whole is not None and not self.is_finished:
+            data, self._whole = self._whole, None
+            self.is_started = True
+            self._connection.write(data)
+            self._complete()
+        elif self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
+
+    def _complete(self) -> None:
+        self.is_finished = True
+        self._connection.answered(self, closes=self._closes)
+
+    def _head(self, status: int, headers: Headers, *, close: bool) -> bytes:
+        request = self._request
+        self._closes = (
+            close
+            or not request.keep_alive
+            or not request.body.is_complete
+            or self._connection.server.is_draining
+        )
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _PHRASES.get(status, b"Unknown"))]
+        lines.extend(b"%b: %b\r\n" % pair for pair in headers)
+        if self._closes:
+            lines.append(b"connection: close\r\n")
+        elif request.version == "1.0":
+            lines.append(b"connection: keep-alive\r\n")
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+
+class _Phase(Enum):
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    ANSWERING = "answering"
+    ENDING = "ending"
+
+
+class IngressConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: IngressServer) -> None:
+        """Create a connection of a server."""
+        self.server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._phase = _Phase.IDLE
+        self._phase_at = time.monotonic()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = 0.0
+        self._responders: deque[Responder] = deque()
+        self._url = b""
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._request: IngressRequest | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._is_refusing = False
+        self._reads_paused = False
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        self._transport = cast(asyncio.Transport, transport)
+        watch_for_silence(transport)
+        self.server.connections.add(self)
+        self._enter(_Phase.IDLE)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what the caller no longer waits for."""
+        self.server.connections.discard(self)
+        self._phase = _Phase.ENDING
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._request is not None:
+            self._request.body.fail("the caller closed the connection")
+        self.resume_writing()
+        for responder in self._responders:
+            if responder.task is not None:
+                responder.task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._phase is _Phase.ENDING or self._is_refusing:
+            return
+        if self._phase is _Phase.IDLE:
+            self._head_bytes = 0
+            self._enter(_Phase.HEAD)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "protocol upgrades are not supported")
+        except httptools.HttpParserError as error:
+            self._refuse(400, f"the request is malformed: {error}")
+        if self._phase is _Phase.HEAD and not self._is_refusing:
+            self._head_bytes += len(data)
+            if self._head_bytes > self.server.limits().max_header_bytes:
+                self._refuse(431, "the request head is too large")
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._arm_sooner()
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's stream as its leaving."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Make ``drain`` wait."""
+        if self._write_waiter is None:
+            self._write_waiter = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` go on."""
+        waiter, self._write_waiter = self._write_waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._url = b""
+        self._headers = []
+        if self._phase is not _Phase.HEAD:
+            self._head_bytes = 0
+            self._enter(_Phase.HEAD)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hand a request to the handler, or refuse it."""
+        if self._is_refusing:
+            return
+        version = self._parser.get_http_version()
+        fault = head_fault(version, self._headers)
+        if fault is not None:
+            self._refuse(400, fault)
+            return
+        size = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._url)
+        if size > self.server.limits().max_header_bytes:
+            self._refuse(431, "the request head is too large")
+            return
+        request = IngressRequest(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=RequestBody(self._pause_reading, self._resume_reading),
+            keep_alive=self._parser.should_keep_alive(),
+            version=version,
+            received_at=time.monotonic(),
+        )
+        self._request = request
+        self._enter(_Phase.BODY)
+        responder = Responder(self, request)
+        self._responders.append(responder)
+        responder.task = asyncio.create_task(self._handle(request, responder))
+        if len(self._responders) >= MAX_PIPELINED:
+            self._pause_reading()
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a piece of the body, within the limit."""
+        request = self._request
+        if request is None or self._is_refusing:
+            return
+        self._phase_at = time.monotonic()
+        if request.body.size + len(body) > self.server.limits().max_body_bytes:
+            request.body.fail("the body is too large")
+            self._is_refusing = True
+            return
+        request.body.feed(body)
+
+    def on_message_complete(self) -> None:
+        """End a request's body."""
+        if self._request is None or self._is_refusing:
+            return
+        self._request.body.finish()
+        self._request = None
+        self._enter(_Phase.ANSWERING if self._responders else _Phase.IDLE)
+
+    # Interface of the responders.
+
+    def is_first(self, responder: Responder) -> bool:
+        """Tell whether the next answer to write is that of the responder."""
+        return bool(self._responders) and self._responders[0] is responder
+
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection is closing."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the send buffer has room."""
+        if self._write_waiter is not None:
+            await self._write_waiter
+
+    def abort(self) -> None:
+        """Break the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def answered(self, responder: Responder, *, closes: bool) -> None:
+        """Go on to the next answer, or close."""
+        if not self._responders or self._responders[0] is not responder:
+            return
+        self._responders.popleft()
+        if closes:
+            self._close_after_answer()
+            return
+        if self._responders:
+            self._responders[0].flush()
+        elif self._phase is _Phase.ANSWERING:
+            self._enter(_Phase.IDLE)
+        if self._reads_paused and len(self._responders) < MAX_PIPELINED:
+            self._resume_reading()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is in progress on it."""
+        if self._phase is _Phase.IDLE and not self._responders and self._transport is not None:
+            self._phase = _Phase.ENDING
+            self._transport.close()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress."""
+        return not self._responders
+
+    # The rest.
+
+    async def _handle(self, request: IngressRequest, responder: Responder) -> None:
+        self.server.in_flight += 1
+        try:
+            await self.server.handler(request, responder)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            logger.exception("handling %s %s failed", request.method, request.target)
+            if not responder.is_started:
+                responder.send_whole(502, [], b"internal error\n", close=True)
+            else:
+                responder.abort()
+        finally:
+            self.server.in_flight -= 1
+
+    def _enter(self, phase: _Phase) -> None:
+        self._phase = phase
+        self._phase_at = time.monotonic()
+        if self._timer is None and phase is not _Phase.ENDING:
+            self._arm()
+
+    def _limit(self) -> float | None:
+        limits = self.server.limits()
+        limit_by_phase = {
+            _Phase.IDLE: limits.idle_seconds,
+            _Phase.HEAD: limits.header_seconds,
+            _Phase.BODY: limits.idle_seconds,
+        }
+        return limit_by_phase.get(self._phase)
+
+    def _arm(self) -> None:
+        limit = self._limit()
+        if limit is None:
+            return
+        self._timer_at = self._phase_at + limit
+        delay = max(0.01, self._timer_at - time.monotonic())
+        self._timer = asyncio.get_running_loop().call_later(delay, self._timer_fired)
+
+    def _arm_sooner(self) -> None:
+        """Bring the timer forward if it was set for a phase with a longer limit."""
+        limit = self._limit()
+        if limit is None or self._timer is None:
+            return
+        if self._timer_at > self._phase_at + limit:
+            self._timer.cancel()
+            self._arm()
+
+    def _timer_fired(self) -> None:
+        self._timer = None
+        limit = self._limit()
+        if limit is None:
+            return
+        if time.monotonic() < self._phase_at + limit:
+            self._arm()
+            return
+        if self._phase is _Phase.IDLE:
+            self.close_if_idle()
+        elif self._phase is _Phase.HEAD:
+            self._refuse(408, "the request head came too slowly")
+        elif self._request is not None:
+            self._request.body.fail("the body stalled")
+            self._is_refusing = True
+
+    def _refuse(self, status: int, why: str) -> None:
+        """Answer what cannot be taken as a request, behind earlier answers, and close."""
+        if self._is_refusing:
+            return
+        self._is_refusing = True
+        body = RequestBody(lambda: None, lambda: None)
+        request = IngressRequest("GET", "", [], body, False, "1.1", time.monotonic())
+        self._request = None
+        responder = Responder(self, request)
+        self._responders.append(responder)
+        responder.send_whole(status, [], why.encode("latin-1", "replace") + b"\n", close=True)
+
+    def _close_after_answer(self) -> None:
+        transport = self._transport
+        for responder in self._responders:
+            if responder.task is not None:
+                responder.task.cancel()
+        self._responders.clear()
+        was_reading = self._phase in (_Phase.HEAD, _Phase.BODY) or self._is_refusing
+        self._phase = _Phase.ENDING
+        if transport is None or transport.is_closing():
+            return
+        if was_reading and transport.can_write_eof():
+            transport.write_eof()
+            self._resume_reading()
+            asyncio.get_running_loop().call_later(LINGER_SECONDS, transport.close)
+        else:
+            transport.close()
+
+    def _pause_reading(self) -> None:
+        if not self._reads_paused and self._transport is not None:
+            self._reads_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._reads_paused and self._transport is not None:
+            self._reads_paused = False
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+
+class IngressServer:
+    """Listens for callers and passes their requests to a handler."""
+
+    def __init__(self, handler: Handler, limits: Callable[[], IngressLimits]) -> None:
+        """Create a server that does not listen yet."""
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[IngressConnection] = set()
+        self.in_flight = 0
+        self.is_draining = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int, backlog: int) -> None:
+        """Accept connections; raise ``OSError`` when the address is taken."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: IngressConnection(self), host, port, backlog=backlog, reuse_address=True
+        )
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Break all connections."""
+        for connection in list(self.connections):
+            connection.abort()
--- /dev/null
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -0,0 +1,499 @@
+"""Takes a caller's request to a target and brings back the answer.
+
+This is the only place that repeats a send. What may be repeated follows from the route's kind: a
+request that must not run twice is sent again only when the target said that it did not run it, or
+when no byte of it was written.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import unquote
+
+from result import Err, Ok, Result
+
+from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.ingress.attempt import (
+    Proof,
+    Send,
+    TargetAnswer,
+    attempt,
+    classify,
+)
+from cassiashore._internal.ingress.body import BodyError
+from cassiashore._internal.ingress.connection import IngressRequest, Responder
+from cassiashore._internal.ingress.edge import EdgeHeaders
+from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.net.http_client import Headers
+from cassiashore._internal.observability.logs import DecisionLog
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.proxy.answers import status_of
+from cassiashore._internal.proxy.headers import end_to_end
+from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
+from cassiashore._internal.steering.cold import ColdAdmission
+from cassiashore._internal.steering.distance import RegionDistances
+from cassiashore._internal.steering.overload import Urgency, Verdict, decide
+from cassiashore._internal.steering.placement import Estimate, Placement, best_of
+from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from cassiashore._internal.steering.repeats import RepeatBudget
+from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser
+
+PREFIX_BYTES = 64 * 1024  # bodies up to this are taken whole first, and can be sent again
+MAX_DEADLINE_DIGITS = 9
+MAX_UNREACHABLE = 4  # targets that could not be reached, before a request is given up
+SILENCE_OBJECTIVES = 2.0  # objectives without an answer after which another target is asked
+MIN_SILENCE_SECONDS = 0.3
+NOT_READY_RETRY_SECONDS = 0.5
+NO_TARGET_RETRY_SECONDS = 0.5
+SERVER_ERROR = 500
+_CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
+
+
+@dataclass(slots=True)
+class Call:
+    """One request on its way. ``deadline`` is in seconds of the monotonic clock."""
+
+    request: IngressRequest
+    route: Route
+    service: str
+    key: str
+    deadline: float
+    version: int
+    fingerprint: int = 0
+    sends: int = 0
+    unreachable: int = 0
+    tried: set[str] = field(default_factory=set)
+    steps: list[list[object]] = field(default_factory=list)
+    worst: Failure | None = None
+    retry_after: float = 0.0
+
+    def failed(self, failure: Failure) -> None:
+        """Keep the worst knowledge: once a send may have run, the request may have run."""
+        if self.worst is None or self.worst.outcome is Outcome.NOT_RUN:
+            self.worst = failure
+
+
+@dataclass(slots=True)
+class Delivery:
+    """What the caller gets: a target's answer, and who made it."""
+
+    answer: TargetAnswer
+    target: RegisteredTarget
+
+
+class Forwarder:
+    """Serves requests by the route table in force."""
+
+    def __init__(
+        self,
+        edge: EdgeHeaders,
+        registry: TargetRegistry,
+        placement: Placement,
+        distances: RegionDistances,
+        cold: ColdAdmission,
+        poison: PoisonRegistry,
+        make_budget: Callable[[], RepeatBudget],
+        decisions: DecisionLog,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Keep the parts; ``table`` is set when a configuration is in force."""
+        self.table: RouteTable | None = None
+        self.refuses_new = False
+        self._edge = edge
+        self._registry = registry
+        self._placement = placement
+        self._distances = distances
+        self._cold = cold
+        self._poison = poison
+        self._make_budget = make_budget
+        self._decisions = decisions
+        self._metrics = metrics
+        self._rng = rng
+        self._split = SplitChooser()
+        self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._own_request_headers = frozenset(
+            {edge.deadline_ms, edge.expect_target, b"content-length"}
+        )
+
+    def apply(self, table: RouteTable) -> None:
+        """Put a version in force."""
+        self.table = table
+        names = {r.name for by in table.route_by_prefix_by_host.values() for r in by.values()}
+        self._split.forget_except(names)
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Answer one request."""
+        table = self.table
+        if table is None:
+            failure = Failure.not_run(Reason.NOT_READY, "no configuration is in force yet")
+            self._refuse(request, responder, failure, NOT_READY_RETRY_SECONDS)
+            return
+        route = table.match(_host_of(request), request.target.partition("?")[0])
+        if route is None:
+            failure = Failure.not_run(Reason.UNKNOWN_ROUTE, "no route matches host and path")
+            self._refuse(request, responder, failure, version=table.version)
+            return
+        if self.refuses_new:
+            failure = Failure.not_run(Reason.STOPPING, "this instance is stopping")
+            self._refuse(request, responder, failure, 0.0, version=table.version)
+            return
+        if not route.is_idempotent:
+            # Behind an answer that closes the connection the caller sends it again.
+            await responder.turn()
+        send = await self._read(request, responder, route)
+        if send is None:
+            return
+        call = self._call(request, route, table.version, send)
+        if self._poison.is_poisonous(call.fingerprint):
+            failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
+            self._refuse(request, responder, failure, version=table.version)
+            return
+        outcome = await self._run(call, send)
+        if isinstance(outcome, Err):
+            self._finish(call, outcome.err_value.reason.value, None)
+            self._answer_failure(responder, outcome.err_value, call.retry_after)
+            return
+        await self._deliver(call, responder, outcome.ok_value)
+
+    # Reading.
+
+    async def _read(
+        self, request: IngressRequest, responder: Responder, route: Route
+    ) -> Send | None:
+        """Take in the body or its first part; None after refusing the request."""
+        assert self.table is not None
+        content_length = request.header(b"content-length")
+        most = self.table.limits.max_body_bytes
+        if content_length is not None and int(content_length) > most:
+            failure = Failure.not_run(Reason.BODY_TOO_LARGE, f"the body exceeds {most} bytes")
+            self._refuse(request, responder, failure)
+            return None
+        try:
+            prefix = await request.body.prefix(PREFIX_BYTES)
+        except BodyError as error:
+            too_large = request.body.size + 1 > most or "large" in str(error)
+            reason = Reason.BODY_TOO_LARGE if too_large else Reason.DEADLINE
+            self._refuse(request, responder, Failure.not_run(reason, str(error)))
+            return None
+        request_id = request.header(self._edge.request_id)
+        if request_id is None:
+            failure = Failure.not_run(Reason.MALFORMED, "the request has no id")
+            self._refuse(request, responder, failure)
+            return None
+        headers = [p for p in end_to_end(request.headers) if p[0] not in self._own_request_headers]
+        return Send(
+            request.method,
+            request.target,
+            headers,
+            request_id,
+            prefix,
+            request.body,
+            content_length,
+            route.is_idempotent,
+            not request.body.is_complete,
+        )
+
+    def _call(self, request: IngressRequest, route: Route, version: int, send: Send) -> Call:
+        most = route.timeout
+        given = request.header(self._edge.deadline_ms)
+        if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
+            most = min(most, int(given) / 1000)
+        key = _cookie(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
+        call = Call(
+            request,
+            route,
+            self._split.choose(route),
+            key or send.request_id.decode("latin-1"),
+            request.received_at + most,
+            version,
+        )
+        affinity = key or ""
+        call.fingerprint = fingerprint(
+            route.name, request.method, f"{request.target}\n{affinity}", send.prefix
+        )
+        return call
+
+    # Running.
+
+    async def _run(self, call: Call, send: Send) -> Result[Delivery, Failure]:
+        """Send the request until it is answered or must not be sent again."""
+        budget = self._budget(call.service)
+        kept: Delivery | None = None
+        while True:
+            chosen = self._choose(call)
+            if isinstance(chosen, Err):
+                call.failed(chosen.err_value)
+                break
+            if call.sends > 0 and not budget.try_repeat():
+                call.steps.append(["repeat-budget"])
+                break
+            target = chosen.ok_value.target
+            sent_before = call.sends
+            outcome = await self._send(call, send, chosen.ok_value)
+            if call.sends > sent_before and sent_before == 0:
+                budget.first_send()
+            if isinstance(outcome, Ok):
+                delivery = outcome.ok_value
+                if delivery.answer.head.status < SERVER_ERROR or not self._may_repeat(call, send):
+                    return Ok(delivery)
+                kept = delivery
+                call.tried.add(target.target_id)
+                continue
+            failure = outcome.err_value
+            call.failed(failure)
+            call.tried.add(target.target_id)
+            certain = failure.outcome is Outcome.NOT_RUN
+            if failure.reason is Reason.DEADLINE or send.body.is_streaming:
+                break
+            if not certain and not send.is_idempotent:
+                break
+            if not self._may_repeat(call, send):
+                break
+        if kept is not None:
+            return Ok(kept)
+        assert call.worst is not None
+        return Err(call.worst)
+
+    def _may_repeat(self, call: Call, send: Send) -> bool:
+        return (
+            call.sends < call.route.max_attempts
+            and call.unreachable < MAX_UNREACHABLE
+            and not send.is_streamed
+            and time.monotonic() < call.deadline
+            and not self._poison.is_poisonous(call.fingerprint)
+        )
+
+    def _choose(self, call: Call) -> Result[Estimate, Failure]:
+        """Choose where to send, or say why the request is turned away."""
+        route = call.route
+        now = time.monotonic()
+        ranked = [
+            target
+            for target in self._placement.ranked(
+                call.service, call.key, route.objective, route.home_regions
+            )
+            if target.target_id not in call.tried and not target.health.is_resting(now)
+        ]
+        urgency = Urgency(call.deadline - now, route.objective, route.priority)
+        while ranked:
+            best = best_of(
+                self._placement.estimates(ranked, call.service, call.key, route.objective)
+            )
+            decision = decide(best, urgency, self._rng)
+            if decision.verdict is Verdict.TURN_AWAY:
+                call.retry_after = decision.retry_after
+                call.steps.append(["turned-away", decision.reason, round(best.seconds, 3)])
+                return Err(Failure.not_run(Reason.TURNED_AWAY, decision.reason))
+            if not best.target.is_cold(now) or self._admits_cold(best.target):
+                call.steps.append([best.target.target_id, decision.reason, round(best.seconds, 3)])
+                return Ok(best)
+            ranked.remove(best.target)
+        call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
+        return Err(Failure.not_run(Reason.NO_TARGET, f'no target of "{call.service}" takes work'))
+
+    def _admits_cold(self, target: RegisteredTarget) -> bool:
+        assert self.table is not None
+        rule = self.table.rule_by_service.get(target.report.service)
+        rate = rule.cold_rate if rule is not None else 0.0
+        report = target.report
+        return self._cold.try_admit(report.target_id, report.failure_domain, target.region, rate)
+
+    async def _send(self, call: Call, send: Send, chosen: Estimate) -> Result[Delivery, Failure]:
+        """Send once and take in what that says of the target."""
+        target = chosen.target
+        target.load.in_flight += 1
+        started = time.monotonic()
+        call.sends += 1
+        silence = None
+        if send.is_idempotent and call.sends < call.route.max_attempts and not send.is_streamed:
+            silence = max(
+                MIN_SILENCE_SECONDS,
+                SILENCE_OBJECTIVES * call.route.objective + chosen.waiting,
+            )
+        try:
+            outcome = await attempt(
+                send,
+                target,
+                self._edge,
+                call.deadline,
+                self._distances.round_trip(target.region),
+                silence,
+            )
+        finally:
+            target.load.in_flight -= 1
+        if isinstance(outcome, Err):
+            self._note_failure(call, target, outcome.err_value)
+            return outcome
+        answer = outcome.ok_value
+        self._note_load(target, answer)
+        proof = classify(answer.head, self._edge)
+        call.steps[-1].extend([answer.head.status, round(time.monotonic() - started, 4)])
+        if proof is Proof.RAN:
+            self._note_answer(call, chosen, answer)
+            return Ok(Delivery(answer, target))
+        if answer.rest is not None:
+            target.pool.discard(answer.rest)
+        return Err(self._unproven(call, target, proof, answer))
+
+    def _unproven(
+        self, call: Call, target: RegisteredTarget, proof: Proof, answer: TargetAnswer
+    ) -> Failure:
+        status = answer.head.status
+        if proof is Proof.OTHER_TARGET:
+            self._registry.remove(target.target_id, "another target has its address")
+            return Failure.not_run(Reason.ANOTHER_TARGET, f'"{target.target_id}" is gone')
+        if proof is Proof.NOT_RUN:
+            target.health.shed(time.monotonic())
+            return Failure.not_run(Reason.TARGET_SHED, f'"{target.target_id}" shed it ({status})')
+        return Failure.unknown(
+            Reason.BAD_ANSWER,
+            f'"{target.target_id}" gave an answer of status {status} that' " proves nothing",
+        )
+
+    def _note_failure(self, call: Call, target: RegisteredTarget, failure: Failure) -> None:
+        call.steps[-1].append(failure.reason.value)
+        if failure.reason is Reason.DEADLINE:
+            return
+        if failure.reason is Reason.TARGET_UNREACHABLE:
+            call.sends -= 1
+            call.unreachable += 1
+        if failure.reason in _CRASH_REASONS and failure.outcome is Outcome.UNKNOWN:
+            self._poison.record_crash(call.fingerprint, target.target_id)
+        if target.health.failed() or failure.reason is Reason.TARGET_UNREACHABLE:
+            target.health.eject(time.monotonic())
+            self._decisions.write(
+                "eject",
+                target=target.target_id,
+                why=failure.detail,
+                until_s=round(target.health.ejected_until - time.monotonic(), 2),
+            )
+
+    def _note_answer(self, call: Call, chosen: Estimate, answer: TargetAnswer) -> None:
+        target = chosen.target
+        if answer.head.status >= SERVER_ERROR:
+            if target.health.failed():
+                target.health.eject(time.monotonic())
+            return
+        self._poison.acquit(call.fingerprint)
+        target.health.succeeded(answer.seconds)
+        self._placement.answered(target, call.service, call.key, answer.seconds, chosen.waiting)
+
+    def _note_load(self, target: RegisteredTarget, answer: TargetAnswer) -> None:
+        value = answer.head.get(self._edge.load)
+        if value is None:
+            return
+        parts = value.split(b",")
+        if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
+            target.load.report(int(parts[0]) + int(parts[1]), time.monotonic())
+
+    # Answering.
+
+    async def _deliver(self, call: Call, responder: Responder, delivery: Delivery) -> None:
+        answer = delivery.answer
+        headers = [p for p in end_to_end(answer.head.headers) if p[0] != b"content-length"]
+        if answer.rest is None:
+            self._finish(call, "answered", delivery)
+            responder.send_whole(answer.head.status, headers, answer.body)
+            return
+        connection, whole = answer.rest, False
+        try:
+            await responder.turn()
+            length = answer.head.get(b"content-length")
+            responder.start(answer.head.status, headers, int(length) if length else None)
+            piece: bytes | None = answer.body
+            while piece is not None:
+                await responder.write(piece)
+                piece = await connection.read_chunk()
+            whole = True
+            responder.finish()
+        except ConnectionLostError:
+            responder.abort()
+        finally:
+            pool = delivery.target.pool
+            pool.release(connection) if whole else pool.discard(connection)
+            self._finish(call, "answered" if whole else "broken-off", delivery)
+
+    def _answer_failure(self, responder: Responder, failure: Failure, retry_after: float) -> None:
+        status = status_of(failure.reason)
+        if failure.outcome is Outcome.UNKNOWN and failure.reason is not Reason.DEADLINE:
+            status = 502
+        elif failure.outcome is Outcome.NOT_RUN and failure.reason is Reason.DEADLINE:
+            status = 503
+        headers: Headers = [(b"content-type", b"text/plain")]
+        if status in (429, 503):
+            headers.append((b"retry-after", f"{retry_after:.3f}".encode()))
+        responder.send_whole(status, headers, failure.detail.encode("latin-1", "replace") + b"\n")
+
+    def _refuse(
+        self,
+        request: IngressRequest,
+        responder: Responder,
+        failure: Failure,
+        retry_after: float = 0.0,
+        version: int = 0,
+    ) -> None:
+        request_id = request.header(self._edge.request_id) or b""
+        self._decisions.write(
+            "refuse",
+            id=request_id.decode("latin-1"),
+            version=version,
+            reason=failure.reason.value,
+            detail=failure.detail,
+        )
+        self._metrics.count_request("none", failure.outcome.value, failure.reason.value)
+        self._answer_failure(responder, failure, retry_after)
+
+    def _finish(self, call: Call, result: str, delivery: Delivery | None) -> None:
+        """Log the decision and count it."""
+        request_id = call.request.header(self._edge.request_id) or b""
+        seconds = time.monotonic() - call.request.received_at
+        self._decisions.write(
+            "route",
+            id=request_id.decode("latin-1"),
+            route=call.route.name,
+            service=call.service,
+            key=call.key,
+            version=call.version,
+            left_s=round(call.deadline - time.monotonic(), 3),
+            steps=call.steps,
+            result=result,
+            status=delivery.answer.head.status if delivery is not None else None,
+            seconds=round(seconds, 4),
+        )
+        outcome = Outcome.RAN.value if delivery is not None else Outcome.UNKNOWN.value
+        if delivery is None and call.worst is not None:
+            outcome = call.worst.outcome.value
+        self._metrics.count_request(call.service, outcome, result)
+        self._metrics.observe_latency(call.service, seconds)
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = self._budget_by_service[service] = self._make_budget()
+        return budget
+
+
+def _host_of(request: IngressRequest) -> str:
+    host = (request.header(b"host") or b"").decode("latin-1").lower()
+    name, separator, port = host.rpartition(":")
+    return name if separator and port.isdigit() else host
+
+
+def _cookie(headers: Headers, wanted: bytes) -> str | None:
+    """Return the value of a cookie, or None.
+
+    >>> _cookie([(b"cookie", b"a=1; Key=17")], b"key")
+    '17'
+    """
+    for name, value in headers:
+        if name != b"cookie":
+            continue
+        for part in value.split(b";"):
+            cookie, separator, content = part.strip().partition(b"=")
+            if separator and cookie.lower() == wanted:
+                return unquote(content.decode("latin-1"))
+    return None
--- /dev/null
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -0,0 +1,136 @@
+"""Keeps the mirror current: by watching the store, or from instances that do.
+
+A few instances, one in each region, watch the store; the others have a stream to two of them. One
+that hears from neither for ``RELAY_SILENCE_SECONDS`` watches the store itself until it does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+
+from result import Err
+
+from cassiashore._internal.mirror.instances import InstanceTable
+from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.store.events import EventStore, HistoryLost
+
+logger = logging.getLogger(__name__)
+
+WATCH_SECONDS = 2.0  # bounds the time until a silent connection is noticed, with the call's margin
+MIN_WATCH_INTERVAL_SECONDS = 0.25  # changes come in groups; each answered watch is a call
+FIRST_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 0.5
+RELAY_SILENCE_SECONDS = 1.2
+IDLE_CHECK_SECONDS = 0.2
+LEAST_READERS = 2
+OUTAGE_SECONDS = 0.6  # a failed call shorter ago than this is no outage yet
+
+
+class StoreFollower:
+    """The task that watches the store when it is this instance's turn."""
+
+    def __init__(
+        self,
+        store: EventStore,
+        mirror: StoreMirror,
+        instances: InstanceTable,
+        relay_heard_at: Callable[[], float],
+        starts_as_reader: bool,
+        rng: random.Random,
+    ) -> None:
+        """Keep the parts; ``relay_heard_at`` is when another instance last brought news."""
+        self.is_reading = False
+        self._store = store
+        self._mirror = mirror
+        self._instances = instances
+        self._relay_heard_at = relay_heard_at
+        self._starts_as_reader = starts_as_reader
+        self._rng = rng
+        self._started_at = time.monotonic()
+        self._failing_since: float | None = None
+        self._retry = FIRST_RETRY_SECONDS
+        self._needs_copy = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            self._mirror.sweep()
+            if not self._should_read():
+                self._note_role(reading=False)
+                await asyncio.sleep(IDLE_CHECK_SECONDS)
+                continue
+            self._note_role(reading=True)
+            started = time.monotonic()
+            if await self._read_once():
+                pause = started + MIN_WATCH_INTERVAL_SECONDS - time.monotonic()
+            else:
+                pause = self._retry * (0.5 + self._rng.random())
+                self._retry = min(MAX_RETRY_SECONDS, self._retry * 2)
+            if pause > 0:
+                await asyncio.sleep(pause)
+
+    def _should_read(self) -> bool:
+        readers = self._instances.store_readers(LEAST_READERS)
+        own = self._instances.own_incarnation
+        if any(reader.identity.incarnation == own for reader in readers):
+            return True
+        now = time.monotonic()
+        if now - self._relay_heard_at() < RELAY_SILENCE_SECONDS:
+            return False
+        if not self._mirror.is_filled and not self._starts_as_reader:
+            return now - self._started_at >= RELAY_SILENCE_SECONDS
+        return True
+
+    async def _read_once(self) -> bool:
+        """Make one call; tell whether it brought the mirror up to date."""
+        if self._needs_copy or not self._mirror.is_filled:
+            return await self._copy()
+        started = time.monotonic()
+        outcome = await self._store.watch(self._mirror.revision, WATCH_SECONDS)
+        if isinstance(outcome, Err):
+            if isinstance(outcome.err_value, HistoryLost):
+                logger.warning("the store lost its history after %d", self._mirror.revision)
+                self._needs_copy = True
+                return True
+            self._failed(outcome.err_value.detail)
+            return False
+        self._answered(started)
+        if not self._mirror.apply(outcome.ok_value):
+            self._needs_copy = True
+        return True
+
+    async def _copy(self) -> bool:
+        started = time.monotonic()
+        outcome = await self._store.read_all()
+        if isinstance(outcome, Err):
+            self._failed(outcome.err_value.detail)
+            return False
+        self._needs_copy = False
+        self._answered(started)
+        self._mirror.replace(outcome.ok_value)
+        return True
+
+    def _answered(self, started: float) -> None:
+        now = time.monotonic()
+        if self._failing_since is not None:
+            seconds = now - self._failing_since
+            logger.info("the store answers again after %.2f s", seconds)
+            if seconds >= OUTAGE_SECONDS:
+                self._mirror.store_returned()
+            self._failing_since = None
+        self._retry = FIRST_RETRY_SECONDS
+        self._mirror.confirmed(started)
+
+    def _failed(self, detail: str) -> None:
+        if self._failing_since is None:
+            self._failing_since = time.monotonic()
+            logger.warning("the store cannot be followed: %s", detail)
+
+    def _note_role(self, *, reading: bool) -> None:
+        if reading != self.is_reading:
+            self.is_reading = reading
+            logger.info("this instance %s the store", "reads" if reading else "no longer reads")
--- /dev/null
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -0,0 +1,100 @@
+"""The instances of the system, as they register themselves in the store."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from cassiashore._internal.models.hashing import hash64
+from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.steering.cold import Candidate
+
+logger = logging.getLogger(__name__)
+
+
+class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance registers. ``capacity`` is its share of cores, for dividing callers."""
+
+    identity: Identity
+    region: str
+    capacity: float
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(InstanceRecord)
+
+
+def encode_record(record: InstanceRecord) -> bytes:
+    """Encode a record for the store."""
+    return _encoder.encode(record)
+
+
+class InstanceTable:
+    """Registered instances by incarnation; always contains the own one."""
+
+    def __init__(self, own: InstanceRecord) -> None:
+        """Start with the own record."""
+        self.own = own
+        self.record_by_incarnation: dict[str, InstanceRecord] = {}
+        self.on_change: Callable[[str, str], None] = lambda what, incarnation: None
+        self._candidates: list[Candidate] | None = None
+
+    def changed(self, incarnation: str, value: bytes | None) -> None:
+        """Take in a change of a registration."""
+        self._candidates = None
+        if value is None:
+            if self.record_by_incarnation.pop(incarnation, None) is not None:
+                self.on_change("gone", incarnation)
+            return
+        try:
+            record = _decoder.decode(value)
+        except msgspec.DecodeError as error:
+            logger.warning('registration of instance "%s" ignored: %s', incarnation, error)
+            return
+        if incarnation not in self.record_by_incarnation:
+            self.on_change("joined", incarnation)
+        self.record_by_incarnation[incarnation] = record
+
+    @property
+    def own_incarnation(self) -> str:
+        """Return the incarnation of this instance."""
+        return self.own.identity.incarnation
+
+    def records(self) -> list[InstanceRecord]:
+        """Return the registered instances."""
+        return list(self.record_by_incarnation.values())
+
+    def count(self) -> int:
+        """Return the number of instances, this one included."""
+        registered = len(self.record_by_incarnation)
+        return registered + (self.own_incarnation not in self.record_by_incarnation)
+
+    def candidates(self) -> list[Candidate]:
+        """Return the instances for choices that must be alike everywhere."""
+        if self._candidates is None:
+            by_incarnation = dict(self.record_by_incarnation)
+            by_incarnation.setdefault(self.own_incarnation, self.own)
+            self._candidates = [
+                Candidate(incarnation, record.identity.failure_domain, record.region)
+                for incarnation, record in by_incarnation.items()
+            ]
+        return self._candidates
+
+    def store_readers(self, least: int) -> list[InstanceRecord]:
+        """Return the instances that follow the store for the others.
+
+        One in each region, chosen by hash; more of the others until there are ``least``.
+        """
+        records = sorted(self.records(), key=lambda r: hash64(r.identity.incarnation))
+        by_region: dict[str, InstanceRecord] = {}
+        for record in records:
+            by_region.setdefault(record.region, record)
+        readers = list(by_region.values())
+        for record in records:
+            if len(readers) >= least:
+                break
+            if record not in readers:
+                readers.append(record)
+        return readers
--- /dev/null
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -0,0 +1,162 @@
+"""Registers this instance in the store under a lease, and what it wants others to know."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.store.events import EventStore, LeaseLost, TransactionRefused, Write
+
+logger = logging.getLogger(__name__)
+
+RENEWALS_PER_LEASE = 3
+RETRY_SECONDS = 0.3
+STEP_SECONDS = 0.25
+
+
+class Registration:
+    """Keeps keys of this instance in the store for as long as it runs.
+
+    A write whose answer was lost is settled by reading the key: it is this instance's if it holds
+    the value that was written, since the key contains the incarnation.
+    """
+
+    def __init__(
+        self,
+        store: EventStore,
+        mirror: StoreMirror,
+        lease_seconds: float,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create a registration that wants nothing written yet."""
+        self.wanted_by_key: dict[str, bytes] = {}
+        self.is_registered = False
+        self._store = store
+        self._mirror = mirror
+        self._lease_seconds = lease_seconds
+        self._monotonic = monotonic
+        self._lease_id = 0
+        self._renewed_at = float("-inf")
+        self._written_by_key: dict[str, tuple[bytes, int]] = {}
+        self._wake = asyncio.Event()
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Want a key with a value, or gone."""
+        if value is None:
+            self.wanted_by_key.pop(key, None)
+        elif self.wanted_by_key.get(key) != value:
+            self.wanted_by_key[key] = value
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Write, renew and write again what was lost, until cancelled."""
+        while True:
+            if await self._step():
+                await self._pause(STEP_SECONDS)
+            else:
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def withdraw(self) -> None:
+        """Remove the keys by ending the lease, once and without waiting long."""
+        self.wanted_by_key.clear()
+        if self._lease_id:
+            ended = await self._store.end_lease(self._lease_id)
+            if isinstance(ended, Err):
+                logger.warning("withdrawing the registration failed: %s", ended.err_value.detail)
+            self._lease_id = 0
+
+    async def _pause(self, seconds: float) -> None:
+        self._wake.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _step(self) -> bool:
+        if not self.wanted_by_key and not self._written_by_key:
+            return True
+        if not await self._ensure_lease():
+            return False
+        self._notice_losses()
+        for key, value in list(self.wanted_by_key.items()):
+            if self._written_by_key.get(key, (None, 0))[0] != value and not await self._write(
+                key, value
+            ):
+                return False
+        for key in [k for k in self._written_by_key if k not in self.wanted_by_key]:
+            if not await self._delete(key):
+                return False
+        self.is_registered = True
+        return True
+
+    async def _ensure_lease(self) -> bool:
+        now = self._monotonic()
+        if self._lease_id and now - self._renewed_at < self._lease_seconds / RENEWALS_PER_LEASE:
+            return True
+        if self._lease_id:
+            renewed = await self._store.renew_lease(self._lease_id)
+            if isinstance(renewed, Ok):
+                self._renewed_at = now
+                return True
+            if not isinstance(renewed.err_value, LeaseLost):
+                logger.debug("renewing the lease failed: %s", renewed.err_value.detail)
+                return False
+            logger.warning("the lease of the registration was lost")
+            self._forget_lease()
+        granted = await self._store.grant_lease(self._lease_seconds)
+        if isinstance(granted, Err):
+            logger.debug("no lease: %s", granted.err_value.detail)
+            return False
+        self._lease_id = granted.ok_value.lease_id
+        self._renewed_at = now
+        return True
+
+    def _forget_lease(self) -> None:
+        self._lease_id = 0
+        self._written_by_key.clear()
+        self.is_registered = False
+
+    def _notice_losses(self) -> None:
+        """Write again what the mirror shows to be gone although it was written."""
+        for key, (_, revision) in list(self._written_by_key.items()):
+            if self._mirror.revision > revision and key not in self._mirror.item_by_key:
+                logger.warning('registered key "%s" is gone from the store', key)
+                self._forget_lease()
+                return
+
+    async def _write(self, key: str, value: bytes) -> bool:
+        expected = self._written_by_key.get(key, (b"", 0))[1]
+        outcome = await self._store.commit({key: expected}, [Write(key, value, self._lease_id)])
+        if isinstance(outcome, Ok):
+            self._written_by_key[key] = (value, outcome.ok_value)
+            return True
+        fault = outcome.err_value
+        if isinstance(fault, LeaseLost):
+            self._forget_lease()
+            return False
+        if isinstance(fault, TransactionRefused):
+            current = next((c for c in fault.current if c.key == key), None)
+            stands = current is not None and current.value is not None
+            assert current is None or current.value is None or stands
+            if current is not None and current.value == value:
+                self._written_by_key[key] = (value, current.revision)
+                return True
+            revision = current.revision if current is not None and stands else 0
+            self._written_by_key[key] = (b"", revision)
+            return False
+        logger.debug("writing %s failed: %s", key, fault.detail)
+        return False
+
+    async def _delete(self, key: str) -> bool:
+        revision = self._written_by_key[key][1]
+        outcome = await self._store.commit({key: revision}, [], [key])
+        if isinstance(outcome, Ok) or isinstance(outcome.err_value, TransactionRefused | LeaseLost):
+            self._written_by_key.pop(key, None)
+            return True
+        return False
--- /dev/null
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -0,0 +1,186 @@
+"""Streams between instances that carry what one of them read from the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from cassiashore._internal.exceptions import ProtocolViolationError
+from cassiashore._internal.mirror.follower import LEAST_READERS
+from cassiashore._internal.mirror.instances import InstanceTable
+from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.peers import link as links
+from cassiashore._internal.peers.link import PeerLink
+from cassiashore._internal.peers.messages import (
+    FeedBeat,
+    FeedChanges,
+    FeedSnapshot,
+    FeedWanted,
+    Identity,
+)
+from cassiashore._internal.store.events import ChangeBatch
+
+logger = logging.getLogger(__name__)
+
+BEAT_SECONDS = 0.4  # a third of the silence after which a follower reads the store itself
+FRESH_SECONDS = 3.0  # a sender whose own knowledge is older is of no use
+REDIAL_SECONDS = 0.5
+MAX_SOURCES = 2
+BOOT_SOURCES = 3
+LINK_SILENCE_SECONDS = 2.0
+_LINK_ERRORS = (OSError, asyncio.IncompleteReadError, ProtocolViolationError, TimeoutError)
+
+
+class FeedRelay:
+    """Subscribes to instances that read the store, and serves those that subscribe here."""
+
+    def __init__(
+        self,
+        own: Identity,
+        key: bytes,
+        mirror: StoreMirror,
+        instances: InstanceTable,
+        seeds: list[Address],
+        region_distance: Callable[[str], float],
+    ) -> None:
+        """Create a relay without streams; ``seeds`` are tried until instances are known."""
+        self.heard_at = float("-inf")
+        self.bytes_out = 0
+        self._own = own
+        self._key = key
+        self._mirror = mirror
+        self._instances = instances
+        self._seeds = seeds
+        self._region_distance = region_distance
+        self._subscribers: set[PeerLink] = set()
+        self._source_by_address: dict[Address, asyncio.Task[None]] = {}
+        self._server: asyncio.Server | None = None
+        self._accepted: set[asyncio.Task[None]] = set()
+        mirror.on_batch = self._publish
+
+    async def listen(self, address: Address) -> None:
+        """Accept subscribers; raise ``OSError`` when the address is taken."""
+        self._server = await asyncio.start_server(self._accept, address.host, address.port)
+
+    async def run(self) -> None:
+        """Send beats and keep streams to the instances that read the store."""
+        while True:
+            self._follow_sources()
+            self._beat()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def close(self) -> None:
+        """End all streams."""
+        if self._server is not None:
+            self._server.close()
+        for task in [*self._source_by_address.values(), *self._accepted]:
+            task.cancel()
+        for link in self._subscribers:
+            link.close()
+
+    # Serving subscribers.
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._accepted.add(task)
+        try:
+            link = await links.accept(reader, writer, self._own, self._key)
+        except _LINK_ERRORS as error:
+            logger.info("a subscriber's stream was refused: %s", error)
+            self._accepted.discard(task)
+            return
+        try:
+            while True:
+                message = await link.receive()
+                if isinstance(message, FeedWanted):
+                    self._subscribe(link, message)
+        except _LINK_ERRORS as error:
+            logger.debug("the stream of subscriber %s ended: %s", link.peer.instance, error)
+        finally:
+            self._subscribers.discard(link)
+            self._accepted.discard(task)
+            link.abort()
+
+    def _subscribe(self, link: PeerLink, wanted: FeedWanted) -> None:
+        if self._mirror.is_filled and wanted.revision < self._mirror.revision:
+            link.send(FeedSnapshot(self._mirror.snapshot()))
+        self._subscribers.add(link)
+        self._beat_to([link])
+
+    def _publish(self, batch: ChangeBatch) -> None:
+        for link in self._subscribers:
+            link.send(FeedChanges(batch))
+
+    def _beat(self) -> None:
+        self._beat_to(list(self._subscribers))
+
+    def _beat_to(self, subscribers: list[PeerLink]) -> None:
+        age = time.monotonic() - self._mirror.current_at
+        if not self._mirror.is_filled or age == float("inf"):
+            return
+        beat = FeedBeat(self._mirror.revision, int(age * 1000))
+        for link in subscribers:
+            link.send(beat)
+
+    # Following others.
+
+    def _follow_sources(self) -> None:
+        wanted = self._wanted_sources()
+        for address in wanted:
+            if address not in self._source_by_address:
+                self._source_by_address[address] = asyncio.create_task(self._follow(address))
+        for address in [a for a in self._source_by_address if a not in wanted]:
+            self._source_by_address.pop(address).cancel()
+
+    def _wanted_sources(self) -> set[Address]:
+        """Return the addresses of the nearest readers, or of seeds while none is known."""
+        own = self._instances.own
+        readers = self._instances.store_readers(LEAST_READERS)
+        others = [r for r in readers if r.identity.incarnation != own.identity.incarnation]
+        if len(others) < len(readers):
+            return set()
+        if not others:
+            if self._mirror.is_filled:
+                return set()
+            seeds = [s for s in self._seeds if str(s) != own.identity.peer_address]
+            return set(seeds[:BOOT_SOURCES])
+        others.sort(key=lambda r: self._region_distance(r.region))
+        return {Address.parse(r.identity.peer_address) for r in others[:MAX_SOURCES]}
+
+    async def _follow(self, address: Address) -> None:
+        while True:
+            try:
+                link = await links.dial(address, self._own, self._key)
+            except _LINK_ERRORS as error:
+                logger.info("subscribing to %s failed: %s", address, error)
+                await asyncio.sleep(REDIAL_SECONDS)
+                continue
+            logger.info("subscribed to %s at %s", link.peer.instance, address)
+            try:
+                await self._receive(link)
+            except _LINK_ERRORS as error:
+                logger.info("the subscription to %s ended: %s", address, error)
+            finally:
+                link.abort()
+            await asyncio.sleep(REDIAL_SECONDS)
+
+    async def _receive(self, link: PeerLink) -> None:
+        link.send(FeedWanted(self._mirror.revision))
+        while True:
+            async with asyncio.timeout(LINK_SILENCE_SECONDS):
+                message = await link.receive()
+            now = time.monotonic()
+            if isinstance(message, FeedSnapshot):
+                self._mirror.replace(message.snapshot)
+            elif isinstance(message, FeedChanges):
+                if not self._mirror.apply(message.batch):
+                    link.send(FeedWanted(self._mirror.revision))
+            elif isinstance(message, FeedBeat):
+                age = message.age_ms / 1000
+                if message.revision <= self._mirror.revision and age < FRESH_SECONDS:
+                    self.heard_at = now
+                    self._mirror.confirmed(now, age)
--- a/src/cassiashore/_internal/models/outcome.py
+++ b/src/cassiashore/_internal/models/outcome.py
@@ -39,6 +39,14 @@
     BODY_TOO_LARGE = "body-too-large"
     NOT_READY = "not-ready"
     HOP_REFUSED = "hop-refused"
+    TURNED_AWAY = "turned-away"
+    REPEAT_BUDGET = "repeat-budget"
+    UNKNOWN_ROUTE = "unknown-route"
+    ANOTHER_TARGET = "another-target"
+    BAD_ANSWER = "bad-answer"
+    NO_TARGET = "no-target"
+    MALFORMED = "malformed"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -1,14 +1,16 @@
 """HTTP/1.1 client connection that tells whether any request byte was sent.
 
-The parser is ``httptools``. One connection carries one exchange at a time. A response must declare
-its length or be chunked; one that ends with the connection cannot be shown to be whole and is
-refused.
+The parser is ``httptools``. One connection carries one exchange at a time. A response should
+declare its length or be chunked; one that ends with the connection is taken only where the caller
+allows it, and then only if the connection was closed in an orderly way.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
 
@@ -21,6 +23,8 @@
 READ_HIGH_WATER_BYTES = 256 * 1024
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 _BODILESS_STATUSES = frozenset({204, 304})
+KEEP_ALIVE_PROBE_SECONDS = 1  # shortest that the kernel takes
+KEEP_ALIVE_PROBES = 3
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -40,6 +44,9 @@
         return None
 
 
+Accept = Callable[[ResponseHead], bool]
+
+
 class HttpConnection(asyncio.Protocol):
     """A client connection to an HTTP/1.1 server."""
 
@@ -60,16 +67,24 @@
         self._complete = False
         self._keep_alive = False
         self._expects_body = True
+        self._takes_unframed = False
+        self._is_unframed = False
+        self._accept: Accept | None = None
+        self._skipping = False
+        self._has_extra = False
+        self._is_last = False
         self._error: str | None = None
         self.bytes_sent = 0
         self.exchanges = 0
         self.idle_since = 0.0
+        self.skipped = 0
 
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = cast(asyncio.Transport, transport)
+        watch_for_silence(self._transport)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes outside an exchange close the connection."""
@@ -85,9 +100,14 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"the response is malformed: {error}")
+            return
+        if self._has_extra:
+            self._fail("the server sent bytes after its answer")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake up everything that waits on this connection."""
+        if exc is None and self._is_unframed and self._error is None:
+            self._complete = True
         self._fail("the connection closed" if exc is None else f"the connection failed: {exc}")
 
     def pause_writing(self) -> None:
@@ -103,26 +123,42 @@
 
     # Callbacks of the parser.
 
+    def on_message_begin(self) -> None:
+        """Note a second message behind the answer; it belongs to no request."""
+        if self._complete:
+            self._has_extra = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a response header."""
+        if self._complete:
+            return
         self._head.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Deliver the head, unless it is an interim (1xx) one."""
+        if self._complete:
+            return
         status = self._parser.get_status_code()
         if status < 200:
             self._head = ResponseHead()
             return
         self._head.status = status
-        if not self._length_is_declared():
-            self._fail("the response does not declare its length")
+        if self._accept is not None and not self._accept(self._head):
+            self._skipping = True
             return
+        if not self._length_is_declared():
+            if not self._takes_unframed:
+                self._fail("the response does not declare its length")
+                return
+            self._is_unframed = True
         self._head_done = True
         if self._head_waiter is not None and not self._head_waiter.done():
             self._head_waiter.set_result(self._head)
 
     def on_body(self, body: bytes) -> None:
         """Queue a piece of the body and stop reading when too much is queued."""
+        if self._complete or self._skipping:
+            return
         self._chunks.append(body)
         self._buffered += len(body)
         if self._buffered > READ_HIGH_WATER_BYTES and not self._paused_reading:
@@ -132,8 +168,15 @@
         self._wake_body()
 
     def on_message_complete(self) -> None:
-        """Mark the response as whole; an interim response is none."""
-        if self._head_done:
+        """Mark the response as whole; an interim response or a skipped one is none."""
+        if self._complete:
+            return
+        if self._skipping:
+            self._skipping = False
+            self._head = ResponseHead()
+            self.skipped += 1
+            return
+        if self._head_done and not self._is_unframed:
             self._complete = True
             self._keep_alive = self._parser.should_keep_alive()
             self._wake_body()
@@ -151,15 +194,33 @@
         """Tell whether the response is whole and all of its body was read."""
         return self._complete and not self._chunks
 
+    @property
+    def has_head(self) -> bool:
+        """Tell whether the head of the response has come."""
+        return self._head_done
+
+    def abandon_reuse(self) -> None:
+        """Let no exchange follow this one, as when its request was not sent whole."""
+        self._is_last = True
+
     @property
     def reusable(self) -> bool:
         """Tell whether the last exchange is over and another may follow."""
-        return self.usable and self._complete and self._keep_alive
-
-    def start_exchange(self, head: bytes, *, expects_body: bool = True) -> None:
+        return self.usable and self._complete and self._keep_alive and not self._is_last
+
+    def start_exchange(
+        self,
+        head: bytes,
+        *,
+        expects_body: bool = True,
+        takes_unframed: bool = False,
+        accept: Accept | None = None,
+    ) -> None:
         """Send a request head; raise ``ConnectionLostError`` if the connection is closed.
 
-        ``expects_body`` is False for a HEAD request, whose response has no body.
+        ``expects_body`` is False for a HEAD request, whose response has no body. ``takes_unframed``
+        allows a response that ends with the connection. A response that ``accept`` turns down is
+        skipped: it answers an earlier request.
         """
         if not self.usable:
             raise ConnectionLostError(self._error or "the connection is closed")
@@ -170,6 +231,11 @@
         self._complete = False
         self._keep_alive = False
         self._expects_body = expects_body
+        self._takes_unframed = takes_unframed
+        self._is_unframed = False
+        self._accept = accept
+        self._skipping = False
+        self._has_extra = False
         self._chunks.clear()
         self._buffered = 0
         self.bytes_sent = 0
@@ -204,7 +270,7 @@
         Raise ``ConnectionLostError`` when the connection ends before the body does.
         """
         while not self._chunks:
-            if self._complete or not self._expects_body:
+            if self._complete or not self._expects_body or self._head.status in _BODILESS_STATUSES:
                 return None
             if self._error is not None:
                 raise ConnectionLostError(self._error)
@@ -263,6 +329,18 @@
         self.resume_writing()
 
 
+def watch_for_silence(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel probe the other side, so that a path that went silent ends the connection."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
 async def connect(address: Address, timeout: float) -> Result[HttpConnection, str]:
     """Open a connection within ``timeout`` seconds; the error says why it failed."""
     loop = asyncio.get_running_loop()
--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -33,23 +33,32 @@
         self.limit = limit
         self.open = 0
         self._connect_timeout = connect_timeout
-        self._idle_seconds = idle_seconds
+        self.idle_seconds = idle_seconds
         self._monotonic = monotonic
         self._idle: deque[HttpConnection] = deque()
 
-    async def acquire(self) -> Result[HttpConnection, str]:
-        """Return an idle connection that is still open, or a new one."""
+    async def acquire(
+        self, max_idle: float | None = None, connect_timeout: float | None = None
+    ) -> Result[HttpConnection, str]:
+        """Return an idle connection that is still open, or a new one.
+
+        ``max_idle`` lowers, for this call, the seconds for which a connection may have been idle;
+        ``connect_timeout`` replaces the pool's.
+        """
+        allowed = self.idle_seconds if max_idle is None else min(max_idle, self.idle_seconds)
         while self._idle:
-            connection = self._idle.pop()
-            if connection.usable and self._is_fresh(connection):
-                return Ok(connection)
-            self.discard(connection)
+            connection = self._idle[-1]
+            if connection.usable and self._monotonic() - connection.idle_since < allowed:
+                return Ok(self._idle.pop())
+            if connection.usable and allowed < self.idle_seconds:
+                break
+            self.discard(self._idle.pop())
         if self.open >= self.limit:
             return Err(f"{self.address} already has {self.limit} connections")
         self.open += 1
         opened = False
         try:
-            outcome = await connect(self.address, self._connect_timeout)
+            outcome = await connect(self.address, connect_timeout or self._connect_timeout)
             opened = outcome.is_ok()
         finally:
             if not opened:
@@ -74,5 +83,8 @@
         while self._idle:
             self.discard(self._idle.popleft())
 
-    def _is_fresh(self, connection: HttpConnection) -> bool:
-        return self._monotonic() - connection.idle_since < self._idle_seconds
+    def close_stale(self) -> None:
+        """Close connections that were idle too long or that the server closed."""
+        oldest = self._monotonic() - self.idle_seconds
+        while self._idle and (not self._idle[0].usable or self._idle[0].idle_since < oldest):
+            self.discard(self._idle.popleft())
--- a/src/cassiashore/_internal/peers/link.py
+++ b/src/cassiashore/_internal/peers/link.py
@@ -19,10 +19,10 @@
 from cassiashore._internal.peers import messages
 from cassiashore._internal.peers.messages import Hello, Identity, Message, Proof
 
-MAX_FRAME_BYTES = 2 << 20
+MAX_FRAME_BYTES = 16 << 20  # a copy of the store: some thousand entries, and values of 1 MB
 MAX_HANDSHAKE_FRAME_BYTES = 2048
 HANDSHAKE_SECONDS = 2.0
-SEND_BUFFER_BYTES = 4 << 20
+SEND_BUFFER_BYTES = 32 << 20  # two whole frames
 NONCE_BYTES = 16
 _LENGTH = struct.Struct(">I")
 
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -8,6 +8,7 @@
 
 from cassiashore._internal.catalogue.bundle import Manifest
 from cassiashore._internal.store.client import ListedInstance
+from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
 PROTOCOL_VERSION = 1
 
@@ -173,6 +174,34 @@
     reason: str
 
 
+class FeedWanted(_Message, frozen=True, tag=16):
+    """Asks for what the receiver knows of the store, and for all that it learns from now on.
+
+    The sender has everything up to ``revision``; 0 asks for a whole copy.
+    """
+
+    revision: int
+
+
+class FeedSnapshot(_Message, frozen=True, tag=17):
+    """Carries a whole copy of the store's keys."""
+
+    snapshot: Snapshot
+
+
+class FeedChanges(_Message, frozen=True, tag=18):
+    """Carries changes of the store's keys."""
+
+    batch: ChangeBatch
+
+
+class FeedBeat(_Message, frozen=True, tag=19):
+    """Tells that the sender knows all changes up to a revision as of ``age_ms`` ago."""
+
+    revision: int
+    age_ms: int
+
+
 Message = (
     Hello
     | Proof
@@ -189,6 +218,10 @@
     | CrashReport
     | InstanceList
     | Goodbye
+    | FeedWanted
+    | FeedSnapshot
+    | FeedChanges
+    | FeedBeat
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/cassiashore/_internal/proxy/answers.py
+++ b/src/cassiashore/_internal/proxy/answers.py
@@ -39,6 +39,14 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.NOT_READY: 503,
     Reason.HOP_REFUSED: 403,
+    Reason.TURNED_AWAY: 503,
+    Reason.REPEAT_BUDGET: 503,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.ANOTHER_TARGET: 503,
+    Reason.BAD_ANSWER: 502,
+    Reason.NO_TARGET: 503,
+    Reason.MALFORMED: 400,
+    Reason.STOPPING: 503,
 }
 
 
--- a/src/cassiashore/_internal/requests/poison.py
+++ b/src/cassiashore/_internal/requests/poison.py
@@ -36,9 +36,12 @@
 class PoisonRegistry:
     """Counts lost target connections by request fingerprint, here and as peers report."""
 
-    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
-        """Create an empty registry."""
+    def __init__(
+        self, monotonic: Callable[[], float] = time.monotonic, limit: int = CRASH_LIMIT
+    ) -> None:
+        """Create an empty registry that turns a request down after ``limit`` crashes."""
         self.on_crash: Callable[[], None] = lambda: None
+        self._limit = limit
         self._monotonic = monotonic
         self._suspects: OrderedDict[int, _Suspect] = OrderedDict()
 
@@ -68,7 +71,17 @@
         if self._monotonic() - suspect.seen_at > FORGET_SECONDS:
             del self._suspects[fingerprint]
             return False
-        return suspect.total >= CRASH_LIMIT
+        return suspect.total >= self._limit
+
+    def acquit(self, fingerprint: int) -> bool:
+        """Drop a suspicion after a whole answer; tell whether there was one of this instance."""
+        suspect = self._suspects.pop(fingerprint, None)
+        return suspect is not None and suspect.own > 0
+
+    def forget_origin(self, origin: str) -> None:
+        """Drop what an instance reported that takes it back or is gone."""
+        for suspect in self._suspects.values():
+            suspect.reported.pop(origin, None)
 
     def own_counts(self) -> dict[int, int]:
         """Return the crashes seen here, for a report to peers."""
--- /dev/null
+++ b/src/cassiashore/_internal/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of requests over targets that register themselves: routes, limits and placement."""
--- /dev/null
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -0,0 +1,84 @@
+"""Admission to cold targets, within a limit that holds in the sum over all instances.
+
+Load pattern: a failure domain comes back and every instance finds its targets empty at once. A
+cold target that gets more than its rate crashes, and all its requests return as retries.
+
+A few instances, the same ones on every instance by rendezvous hashing, may send to a cold target;
+the others leave it alone until it is warm. Each of them spends a fixed part of half of the limit:
+while instances come and go, two sets of senders may be at work, and together they stay within it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from cassiashore._internal.admission.window import SlidingWindow
+from cassiashore._internal.models.hashing import hash64
+
+WINDOW_SECONDS = 1.15  # one second, and the spread of travel times that can press two windows
+MAX_SENDERS = 4
+OVERLAPPING_SETS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An instance that may be chosen to send to cold targets."""
+
+    incarnation: str
+    failure_domain: str
+    region: str
+
+
+def senders_to(
+    target_id: str, failure_domain: str, region: str, instances: Sequence[Candidate], count: int
+) -> list[str]:
+    """Return the instances that may send to a cold target, nearest first, then by hash."""
+
+    def order(candidate: Candidate) -> tuple[bool, bool, int]:
+        return (
+            candidate.failure_domain != failure_domain,
+            candidate.region != region,
+            hash64(f"{target_id}\n{candidate.incarnation}"),
+        )
+
+    return [c.incarnation for c in sorted(instances, key=order)[:count]]
+
+
+class ColdAdmission:
+    """Decides whether this instance may send one more request to a cold target."""
+
+    def __init__(
+        self,
+        own_incarnation: str,
+        instances: Callable[[], Sequence[Candidate]],
+        monotonic: Callable[[], float],
+        overshoot: float,
+        slack: float,
+    ) -> None:
+        """Keep the bounds: ``rate * overshoot + slack`` requests a second and target in all."""
+        self._own = own_incarnation
+        self._instances = instances
+        self._monotonic = monotonic
+        self._overshoot = overshoot
+        self._slack = slack
+        self._window_by_target: dict[str, SlidingWindow] = {}
+
+    def allowance(self, target_id: str, failure_domain: str, region: str, cold_rate: float) -> int:
+        """Return how many requests this instance may send to a cold target in any second."""
+        limit = (cold_rate * self._overshoot + self._slack) / OVERLAPPING_SETS
+        count = max(1, min(MAX_SENDERS, int(limit)))
+        senders = senders_to(target_id, failure_domain, region, self._instances(), count)
+        if self._own not in senders:
+            return 0
+        return max(1, int(limit / count)) if limit >= 1 else 0
+
+    def try_admit(self, target_id: str, failure_domain: str, region: str, cold_rate: float) -> bool:
+        """Count one request to a cold target if that is allowed; tell whether it is."""
+        window = self._window_by_target.setdefault(target_id, SlidingWindow(WINDOW_SECONDS))
+        allowed = self.allowance(target_id, failure_domain, region, cold_rate)
+        return allowed > 0 and window.try_add(self._monotonic(), allowed)
+
+    def forget(self, target_id: str) -> None:
+        """Drop the count of a target that is gone."""
+        self._window_by_target.pop(target_id, None)
--- /dev/null
+++ b/src/cassiashore/_internal/steering/load.py
@@ -0,0 +1,50 @@
+"""What one instance knows of the load of one target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+OTHERS_WEIGHT = 0.4  # of a new report, which is one moment of a load that varies
+OTHERS_HALF_LIFE_SECONDS = 1.5  # a few answer times: an old report says little
+SERVICE_TIME_WEIGHT = 0.15
+
+
+@dataclass(slots=True)
+class TargetLoad:
+    """Requests at a target: this instance's own, and an estimate of those of other instances.
+
+    Targets report their load with their answers. Between reports the part of the other instances
+    is an average that fades, since it is not known whether they still send.
+    """
+
+    in_flight: int = 0
+    others: float = 0.0
+    reported_at: float = float("-inf")
+    heard_at: float = float("-inf")
+    answer_seconds: float = 0.0
+
+    def report(self, busy: int, now: float) -> None:
+        """Take in a target's own count of requests running and waiting, the answered one gone."""
+        sample = max(0.0, busy - self.in_flight)
+        current = self.others_at(now)
+        self.others = current + OTHERS_WEIGHT * (sample - current)
+        self.reported_at = now
+
+    def others_at(self, now: float) -> float:
+        """Return the estimated requests of other instances."""
+        age = now - self.reported_at
+        if age <= 0 or self.others == 0.0:
+            return self.others
+        return float(self.others * 0.5 ** (age / OTHERS_HALF_LIFE_SECONDS))
+
+    def busy(self, now: float) -> float:
+        """Return the estimated requests at the target."""
+        return self.in_flight + self.others_at(now)
+
+    def answered(self, seconds: float, now: float) -> None:
+        """Take in the time that an answer took."""
+        self.heard_at = now
+        if self.answer_seconds == 0.0:
+            self.answer_seconds = seconds
+        else:
+            self.answer_seconds += SERVICE_TIME_WEIGHT * (seconds - self.answer_seconds)
--- /dev/null
+++ b/src/cassiashore/_internal/steering/overload.py
@@ -0,0 +1,66 @@
+"""What becomes of a request when the targets are busy: send it, or turn it away at once.
+
+Load pattern: demand above all slots for seconds. If every request may wait until its deadline, the
+queues grow until every answer is late, and the targets work on answers that are worth little. So a
+queue is used only while the answer still comes within the route's objective. A request that would
+be late takes a slot that is free anyway, or is turned away at once and told when to come back.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from cassiashore._internal.steering.placement import Estimate
+
+MIN_RETRY_SECONDS = 0.05
+RETRY_SPREAD = 0.5  # of the advised pause, so that those turned away do not return together
+MAX_RETRY_SECONDS = 2.0
+DEADLINE_RESERVE = 0.95  # of the time left: an answer must also travel back
+IN_TIME_SHARE_BY_PRIORITY = (1.0, 0.95, 0.85)  # of the objective; the last is for all further ones
+
+
+class Verdict(Enum):
+    """What to do with a request."""
+
+    SEND = "send"
+    TURN_AWAY = "turn-away"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A verdict, why, and for a request turned away the seconds after which to come back."""
+
+    verdict: Verdict
+    reason: str
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Urgency:
+    """The times of a request in seconds: what is left, and the route's objective and priority."""
+
+    time_left: float
+    objective: float
+    priority: int
+
+
+def decide(best: Estimate, urgency: Urgency, rng: random.Random) -> Decision:
+    """Decide what to do with a request whose best place is known."""
+    if best.seconds > urgency.time_left * DEADLINE_RESERVE:
+        if best.is_immediate:
+            return Decision(Verdict.SEND, "free-slot")
+        return Decision(Verdict.TURN_AWAY, "no-time", retry_after(best, rng))
+    rank = min(urgency.priority, len(IN_TIME_SHARE_BY_PRIORITY) - 1)
+    if best.seconds <= urgency.objective * IN_TIME_SHARE_BY_PRIORITY[rank]:
+        return Decision(Verdict.SEND, "in-time")
+    if best.is_immediate:
+        return Decision(Verdict.SEND, "free-slot")
+    return Decision(Verdict.TURN_AWAY, "queue-too-long", retry_after(best, rng))
+
+
+def retry_after(best: Estimate, rng: random.Random) -> float:
+    """Return the pause after which a slot should be free, spread at random."""
+    pause = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, best.waiting))
+    return pause * (1 + RETRY_SPREAD * rng.random())
--- /dev/null
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -0,0 +1,207 @@
+"""Choice of the target of a request.
+
+Load pattern: targets keep the objects that they handled last, and a request for a kept object takes
+a third of the time. Without affinity the demand exceeds all slots; with it, most fit. So requests
+of one key go to one target as long as that pays, and only then to the key's next one.
+
+Targets are ranked for each key by weighted rendezvous hashing (the score ``-weight / ln(u)`` of a
+uniform hash ``u``; the highest wins). A target's weight is its slots, lowered with the part of the
+route's objective that the way to it takes, so every instance of a region ranks alike, and regions
+with few slots for their callers have a stable part of their keys elsewhere.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cassiashore._internal.models.hashing import HASH_RANGE, hash64
+from cassiashore._internal.steering.distance import RegionDistances
+from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+
+DISTANCE_AVERSION = 8.0  # e-fold of the weight when the way takes an eighth of the objective
+WEIGHT_STEPS_PER_E_FOLD = 2  # measured distances differ a little between instances
+MAX_RANKINGS = 4096  # of one service
+RANKED_CANDIDATES = 4  # looked at before the least loaded of all
+WARM_SHARE = 0.4  # of the objective: answer time for a kept object before any was measured
+UNKNOWN_SHARE = 1.2  # of the objective: answer time for another object before any was measured
+TIME_WEIGHT = 0.05
+PREFERENCE = 1.15  # the first ranked is taken unless another is faster by more than this
+KEPT_KEYS = 64  # keys remembered for each target
+MIN_SLOWNESS = 2.0  # ratio to the service's mean from which a target counts as slow
+LEAST_LOADED_SAMPLE = 3
+
+
+@dataclass(slots=True)
+class ServiceTimes:
+    """Learned answer times of a service in seconds, without travel and waiting."""
+
+    warm: float = 0.0
+    unknown: float = 0.0
+    mean: float = 0.0
+
+    def learn(self, seconds: float, *, is_warm: bool) -> None:
+        """Take in the time of one answer."""
+        self.mean = _blend(self.mean, seconds)
+        if is_warm:
+            self.warm = _blend(self.warm, seconds)
+        else:
+            self.unknown = _blend(self.unknown, seconds)
+
+    def warm_or(self, objective: float) -> float:
+        """Return the time for a kept object."""
+        return self.warm or objective * WARM_SHARE
+
+    def unknown_or(self, objective: float) -> float:
+        """Return the time for an object of which nothing is known."""
+        return self.unknown or objective * UNKNOWN_SHARE
+
+
+def _blend(old: float, new: float) -> float:
+    return new if old == 0.0 else old + TIME_WEIGHT * (new - old)
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What sending to a target would bring: seconds until the answer, and of them waiting."""
+
+    target: RegisteredTarget
+    seconds: float
+    waiting: float
+
+    @property
+    def is_immediate(self) -> bool:
+        """Tell whether a slot is free."""
+        return self.waiting <= 0.0
+
+
+@dataclass(slots=True)
+class _Rankings:
+    epoch: int
+    order_by_key: OrderedDict[str, list[RegisteredTarget]] = field(default_factory=OrderedDict)
+
+
+class Placement:
+    """Ranks and weighs the targets of each service for one instance."""
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        distances: RegionDistances,
+        monotonic: Callable[[], float],
+    ) -> None:
+        """Keep the parts."""
+        self._registry = registry
+        self._distances = distances
+        self._monotonic = monotonic
+        self._rankings_by_service: dict[tuple[str, float, frozenset[str]], _Rankings] = {}
+        self._times_by_service: dict[str, ServiceTimes] = {}
+        self._keys_by_target: dict[str, OrderedDict[str, None]] = {}
+
+    def times(self, service: str) -> ServiceTimes:
+        """Return the learned times of a service."""
+        return self._times_by_service.setdefault(service, ServiceTimes())
+
+    def ranked(
+        self, service: str, key: str, objective: float, homes: frozenset[str]
+    ) -> list[RegisteredTarget]:
+        """Return the targets for a key that take work, best first; only in ``homes`` if any."""
+        group = (service, objective, homes)
+        rankings = self._rankings_by_service.get(group)
+        if rankings is None or rankings.epoch != self._registry.epoch:
+            rankings = _Rankings(self._registry.epoch)
+            self._rankings_by_service[group] = rankings
+        order = rankings.order_by_key.get(key)
+        if order is None:
+            order = self._rank(service, key, objective, homes)
+            rankings.order_by_key[key] = order
+            if len(rankings.order_by_key) > MAX_RANKINGS:
+                rankings.order_by_key.popitem(last=False)
+        return order
+
+    def estimate(
+        self, target: RegisteredTarget, service: str, key: str, objective: float, *, first: bool
+    ) -> Estimate:
+        """Estimate the time until an answer; ``first`` marks the key's own target."""
+        now = self._monotonic()
+        times = self.times(service)
+        if first or self.is_warm(target, key):
+            work = times.warm_or(objective)
+        else:
+            work = times.unknown_or(objective)
+        work *= self._slowness(target, times)
+        slots = max(1, target.report.slots)
+        over = target.load.busy(now) + 1 - slots
+        typical = times.mean or objective * WARM_SHARE
+        waiting = over / slots * typical if over > 0 else 0.0
+        travel = self._distances.round_trip(target.region)
+        return Estimate(target, travel + waiting + work, waiting)
+
+    def estimates(
+        self, ranked: list[RegisteredTarget], service: str, key: str, objective: float
+    ) -> list[Estimate]:
+        """Estimate the first ranked targets, and the least loaded of the others."""
+        now = self._monotonic()
+        chosen = ranked[:RANKED_CANDIDATES]
+        rest = ranked[RANKED_CANDIDATES:]
+        if rest:
+            rest = sorted(rest, key=lambda t: t.load.busy(now) / max(1, t.report.slots))
+            chosen = chosen + rest[:LEAST_LOADED_SAMPLE]
+        return [
+            self.estimate(target, service, key, objective, first=index == 0)
+            for index, target in enumerate(chosen)
+        ]
+
+    def is_warm(self, target: RegisteredTarget, key: str) -> bool:
+        """Tell whether this instance lately sent a request of the key to the target."""
+        keys = self._keys_by_target.get(target.target_id)
+        return keys is not None and key in keys
+
+    def answered(
+        self, target: RegisteredTarget, service: str, key: str, seconds: float, waited: float
+    ) -> None:
+        """Learn from an answer that took ``seconds``, of which it presumably ``waited`` some."""
+        work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
+        self.times(service).learn(work, is_warm=self.is_warm(target, key))
+        target.load.answered(work, self._monotonic())
+        keys = self._keys_by_target.setdefault(target.target_id, OrderedDict())
+        keys[key] = None
+        keys.move_to_end(key)
+        if len(keys) > KEPT_KEYS:
+            keys.popitem(last=False)
+
+    def forget(self, target_id: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self._keys_by_target.pop(target_id, None)
+
+    def _slowness(self, target: RegisteredTarget, times: ServiceTimes) -> float:
+        if target.load.answer_seconds == 0.0 or times.mean == 0.0:
+            return 1.0
+        ratio = target.load.answer_seconds / times.mean
+        return ratio if ratio >= MIN_SLOWNESS else 1.0
+
+    def _rank(
+        self, service: str, key: str, objective: float, homes: frozenset[str]
+    ) -> list[RegisteredTarget]:
+        scored = []
+        for target in self._registry.usable(service):
+            if homes and target.region not in homes:
+                continue
+            uniform = (hash64(f"{key}\n{target.target_id}") + 1) / (HASH_RANGE + 2)
+            scored.append((self._weight(target, objective) / -math.log(uniform), target))
+        scored.sort(key=lambda pair: -pair[0])
+        return [target for _, target in scored]
+
+    def _weight(self, target: RegisteredTarget, objective: float) -> float:
+        share = self._distances.round_trip(target.region) / max(objective, 0.001)
+        e_folds = round(DISTANCE_AVERSION * share * WEIGHT_STEPS_PER_E_FOLD)
+        return target.report.slots * math.exp(-e_folds / WEIGHT_STEPS_PER_E_FOLD)
+
+
+def best_of(estimates: list[Estimate]) -> Estimate:
+    """Return the estimate to go by: the first one unless another is clearly faster."""
+    first = estimates[0]
+    fastest = min(estimates, key=lambda e: e.seconds)
+    return first if first.seconds <= fastest.seconds * PREFERENCE else fastest
--- a/src/cassiashore/_internal/store/client.py
+++ b/src/cassiashore/_internal/store/client.py
@@ -6,17 +6,15 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
-from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
-from cassiashore._internal.net.http_client import HttpConnection, ResponseHead, request_head
-from cassiashore._internal.net.pool import ConnectionPool
+from cassiashore._internal.net.http_call import CallFault, HttpCaller
+from cassiashore._internal.net.http_client import ResponseHead
 
 MAX_VALUE_BYTES = 1 << 20
 MAX_LISTING_BYTES = 8 << 20
@@ -27,12 +25,7 @@
 WATCH_MARGIN_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class StoreFault:
-    """A call that got no answer from the service."""
-
-    detail: str
-    sent: bool
+StoreFault = CallFault
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +58,13 @@
 
     def __init__(self, address: Address, timeout: float) -> None:
         """Create a client whose calls take at most ``timeout`` seconds."""
-        self._pool = ConnectionPool(address, STORE_CONNECTIONS, connect_timeout=timeout)
-        self._host = str(address).encode()
+        self._caller = HttpCaller("store", address, STORE_CONNECTIONS, timeout, MAX_LISTING_BYTES)
         self._timeout = timeout
-        self.calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made."""
+        return self._caller.calls
 
     async def get(self, key: str) -> Result[Entry, StoreFault]:
         """Read a key; an absent key gives an entry of revision 0."""
@@ -113,39 +109,18 @@
 
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
+        self._caller.close()
 
     async def _call(
         self, method: str, path: str, body: bytes, timeout: float
     ) -> Result[tuple[ResponseHead, bytes], StoreFault]:
-        self.calls += 1
-        connection: HttpConnection | None = None
-        finished = False
-        try:
-            async with asyncio.timeout(timeout):
-                acquired = await self._pool.acquire()
-                if isinstance(acquired, Err):
-                    return Err(StoreFault(acquired.err_value, sent=False))
-                connection = acquired.ok_value
-                length = str(len(body)).encode()
-                headers = [(b"host", self._host), (b"content-length", length)]
-                connection.start_exchange(request_head(method, path, headers) + body)
-                head = await connection.response_head()
-                content = await connection.read_all(MAX_LISTING_BYTES)
-                finished = True
-        except (TimeoutError, ConnectionLostError) as error:
-            sent = connection is not None and connection.bytes_sent > 0
-            detail = str(error) or f"no answer within {timeout:g} s"
-            return Err(StoreFault(f"store {method} {path}: {detail}", sent))
-        finally:
-            if connection is not None:
-                if finished:
-                    self._pool.release(connection)
-                else:
-                    self._pool.discard(connection)
-        if head.status not in (200, 404, 409):
-            return Err(StoreFault(f"store {method} {path}: status {head.status}", sent=True))
-        return Ok((head, content))
+        answer = await self._caller.call(method, path, body, timeout)
+        if isinstance(answer, Err):
+            return answer
+        status = answer.ok_value[0].status
+        if status not in (200, 404, 409):
+            return Err(self._caller.fault_of_status(method, path, status))
+        return answer
 
 
 def _entry_of(pair: tuple[ResponseHead, bytes]) -> Entry:
--- /dev/null
+++ b/src/cassiashore/_internal/store/events.py
@@ -0,0 +1,101 @@
+"""The store as a stream of changes: what the mirror needs of it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from cassiashore._internal.store.client import StoreFault
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A key as it was written, or removed if ``value`` is None, at a revision of the store."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """All keys as they were at ``revision`` or, for some of them, later."""
+
+    revision: int
+    items: list[Change]
+
+
+class ChangeBatch(msgspec.Struct, frozen=True, array_like=True):
+    """All changes after revision ``after`` up to and including ``revision``."""
+
+    after: int
+    revision: int
+    changes: list[Change]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer has the changes after the asked revision."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseLost:
+    """The lease has ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class TransactionRefused:
+    """A condition of a transaction did not hold; ``current`` are the keys that it named."""
+
+    current: list[Change]
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that the store granted, with its length in seconds."""
+
+    lease_id: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A key to write under a lease (0: none)."""
+
+    key: str
+    value: bytes
+    lease_id: int = 0
+
+
+class EventStore(Protocol):
+    """A key-value store with a revision counter, leases, transactions and watches."""
+
+    async def read_all(self) -> Result[Snapshot, StoreFault]:
+        """Read every key."""
+
+    async def watch(
+        self, after: int, wait_seconds: float
+    ) -> Result[ChangeBatch, StoreFault | HistoryLost]:
+        """Wait for changes after a revision; an empty batch when there were none."""
+
+    async def commit(
+        self, expected: dict[str, int], writes: Sequence[Write], deletes: Sequence[str] = ()
+    ) -> Result[int, StoreFault | TransactionRefused | LeaseLost]:
+        """Write and delete if the keys have the expected revisions (0: absent)."""
+
+    async def read(self, key: str) -> Result[Change | None, StoreFault]:
+        """Read one key; None when it is absent."""
+
+    async def grant_lease(self, seconds: float) -> Result[Lease, StoreFault]:
+        """Create a lease."""
+
+    async def renew_lease(self, lease_id: int) -> Result[None, StoreFault | LeaseLost]:
+        """Renew a lease."""
+
+    async def end_lease(self, lease_id: int) -> Result[None, StoreFault]:
+        """End a lease; its keys are removed."""
+
+    def close(self) -> None:
+        """Close connections."""
--- /dev/null
+++ b/src/cassiashore/platform/faces.py
@@ -0,0 +1,59 @@
+"""What the platform and its callers ask apart from requests: readiness and the directory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import msgspec
+
+from cassiashore._internal.ingress.connection import IngressRequest, Responder
+from cassiashore.platform.wire import READY_PATH, RESOLVE_PATH
+
+_JSON = [(b"content-type", b"application/json")]
+
+
+class Addresses(msgspec.Struct, rename="kebab"):
+    """The directory's answer: where to connect, and for how many seconds that holds."""
+
+    addresses: list[str]
+    ttl_s: float
+
+
+Resolve = Callable[[str, str, str], list[str]]
+
+
+class Faces:
+    """Handlers for the addresses at which a process is asked."""
+
+    def __init__(self, is_ready: Callable[[], bool], resolve: Resolve, ttl_seconds: float) -> None:
+        """Keep what answers; ``resolve`` takes host, region and failure domain."""
+        self._is_ready = is_ready
+        self._resolve = resolve
+        self._ttl_seconds = ttl_seconds
+
+    async def ready(self, request: IngressRequest, responder: Responder) -> None:
+        """Answer whether this process serves callers."""
+        if _path(request) != READY_PATH:
+            responder.send_whole(404, [], b"not found\n")
+            return
+        ready = self._is_ready()
+        responder.send_whole(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
+
+    async def directory(self, request: IngressRequest, responder: Responder) -> None:
+        """Answer where a caller should connect."""
+        if _path(request) != RESOLVE_PATH:
+            responder.send_whole(404, [], b"not found\n")
+            return
+        query = parse_qs(request.target.partition("?")[2])
+        name, region, zone = (query.get(key, [""])[0] for key in ("name", "region", "zone"))
+        addresses = self._resolve(name, region, zone)
+        if not addresses:
+            responder.send_whole(503, [], b"no instance is known\n")
+            return
+        body = msgspec.json.encode(Addresses(addresses, self._ttl_seconds))
+        responder.send_whole(200, _JSON, body)
+
+
+def _path(request: IngressRequest) -> str:
+    return request.target.partition("?")[0]
--- /dev/null
+++ b/src/cassiashore/platform/node.py
@@ -0,0 +1,427 @@
+"""Composition root of an instance on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import random
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+from result import Err
+
+from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
+from cassiashore._internal.ingress.forwarder import Forwarder
+from cassiashore._internal.mirror.distance_probe import DistanceProbe
+from cassiashore._internal.mirror.follower import StoreFollower
+from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
+from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.mirror.registration import Registration
+from cassiashore._internal.mirror.relay import FeedRelay
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.incarnation import new_incarnation
+from cassiashore._internal.net.pool import ConnectionPool
+from cassiashore._internal.observability.logs import DecisionLog, LogPipeline
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.steering.cold import ColdAdmission
+from cassiashore._internal.steering.directory import Entrance, entrances_for
+from cassiashore._internal.steering.distance import RegionDistances
+from cassiashore._internal.steering.placement import Placement
+from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from cassiashore._internal.steering.repeats import RepeatBudget
+from cassiashore._internal.steering.routes import IngressLimits
+from cassiashore.platform.decoding import decode_configuration, decode_target
+from cassiashore.platform.faces import Faces
+from cassiashore.platform.settings import PlatformSettings, read_settings
+from cassiashore.platform.store import PlatformStore
+from cassiashore.platform.wire import (
+    CONFIGURATION_KEY,
+    CRASH_PREFIX,
+    EDGE_HEADERS,
+    EVACUATION_PREFIX,
+    INSTANCE_PREFIX,
+    TARGET_PREFIX,
+)
+
+logger = logging.getLogger(__name__)
+
+LEASE_SECONDS = 4.0  # an ended instance must be out of directory answers within stable-window + 3 s
+DIRECTORY_TTL_SECONDS = 2.0  # how long callers keep an instance that has ended meanwhile
+BACKLOG = 1024  # all callers may come at once after a restart
+POISON_CRASHES = 3  # crashes after which a request must reach no target
+CONNECTIONS_PER_TARGET = 64  # of one instance; a target's queue is shorter than that
+SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
+MAINTENANCE_SECONDS = 5.0
+REFUSE_AFTER_SHARE = 0.45  # of the grace period: requests that come later could be cut off
+END_SHARE = 0.93  # of the grace period; the process ends before it is killed
+LEAVE_SECONDS = 2.0  # callers and the platform learn within this time that the instance leaves
+STOP_POLL_SECONDS = 0.05
+PEER_KEY = b"cassiashore"  # the platform gives no secret; docs/SECURITY.md
+
+
+class PlatformNode:
+    """One instance. ``start`` brings it up or raises; ``stop`` shuts it down gracefully."""
+
+    def __init__(
+        self, settings: PlatformSettings, path: str, metrics_port: int | None, logs: LogPipeline
+    ) -> None:
+        """Build and connect all parts."""
+        machine, listen = settings.machine, settings.network.listen
+        self.settings = settings
+        self.stop_requested = asyncio.Event()
+        self.is_broken = False
+        self._path = path
+        self._metrics_port = metrics_port
+        self._logs = logs
+        self._content_seen = settings
+        self._is_stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._rng = random.Random()
+        identity = Identity(
+            machine.node_name,
+            new_incarnation(),
+            machine.zone,
+            listen.front or "",
+            listen.control or f"{_host_of(settings)}:{_PEER_PORT_OFFSET}",
+        )
+        capacity = machine.limits.cpu_share * machine.limits.cores
+        self.own = InstanceRecord(identity, machine.region, capacity)
+        self._decisions = DecisionLog()
+        self._metrics = Metrics()
+        self._build_state(settings)
+        self._build_store(settings)
+        self._build_faces(settings)
+        self._connect()
+
+    # Construction.
+
+    def _build_state(self, settings: PlatformSettings) -> None:
+        self.mirror = StoreMirror(time.monotonic)
+        self.instances = InstanceTable(self.own)
+        self.distances = RegionDistances(self.own.region)
+        zones = dict(settings.network.zones)
+        self.registry = TargetRegistry(zones, self._make_pool, time.monotonic)
+        self.placement = Placement(self.registry, self.distances, time.monotonic)
+        self.poison = PoisonRegistry(limit=POISON_CRASHES)
+        bounds = settings.terms.bounds
+        self.cold = ColdAdmission(
+            self.instances.own_incarnation,
+            self.instances.candidates,
+            time.monotonic,
+            bounds.cold_overshoot,
+            bounds.cold_slack,
+        )
+        self.forwarder = Forwarder(
+            EDGE_HEADERS,
+            self.registry,
+            self.placement,
+            self.distances,
+            self.cold,
+            self.poison,
+            self._make_budget,
+            self._decisions,
+            self._metrics,
+            self._rng,
+        )
+
+    def _build_store(self, settings: PlatformSettings) -> None:
+        access = settings.platform.platform
+        self.store = PlatformStore(Address.parse(access.address))
+        lease = max(LEASE_SECONDS, access.ttl_min_s)
+        self.registration = Registration(self.store, self.mirror, lease)
+        seeds = [Address.parse(seed) for seed in settings.network.seeds]
+        own = self.own.identity
+        self.relay = FeedRelay(
+            own, PEER_KEY, self.mirror, self.instances, seeds, self.distances.round_trip
+        )
+        is_seed = own.peer_address in settings.network.seeds or not seeds
+        self.follower = StoreFollower(
+            self.store,
+            self.mirror,
+            self.instances,
+            lambda: self.relay.heard_at,
+            is_seed,
+            self._rng,
+        )
+        self._probe = DistanceProbe(self.instances, self.distances, self._rng)
+
+    def _build_faces(self, settings: PlatformSettings) -> None:
+        ttl = min(DIRECTORY_TTL_SECONDS, settings.terms.bounds.ttl_max_s)
+        faces = Faces(self.is_ready, self.resolve, ttl)
+        self.front = IngressServer(self.forwarder.handle, self._limits)
+        self._ready_face = IngressServer(faces.ready, IngressLimits)
+        self._directory_face = IngressServer(faces.directory, IngressLimits)
+        self._metrics_face = IngressServer(self._serve_metrics, IngressLimits)
+
+    def _connect(self) -> None:
+        mirror = self.mirror
+        mirror.listen(CONFIGURATION_KEY, self._configuration_changed)
+        mirror.listen(TARGET_PREFIX, self._target_changed)
+        mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
+        mirror.listen(INSTANCE_PREFIX, self.instances.changed)
+        mirror.listen(CRASH_PREFIX, self._crashes_changed)
+        self.instances.on_change = self._instance_changed
+        self.registry.on_change = self._registry_changed
+        self.registry.cold_seconds_of = self._cold_seconds_of
+        self.poison.on_crash = self._publish_crashes
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Listen and start all tasks; raise ``OSError`` when an address is taken."""
+        listen = self.settings.network.listen
+        for face, address in (
+            (self.front, listen.front),
+            (self._ready_face, listen.ready),
+            (self._directory_face, listen.directory),
+        ):
+            if address is not None:
+                where = Address.parse(address)
+                await face.listen(where.host, where.port, BACKLOG)
+        if self._metrics_port is not None:
+            await self._metrics_face.listen(_host_of(self.settings), self._metrics_port, BACKLOG)
+        await self.relay.listen(Address.parse(self.own.identity.peer_address))
+        for work in (
+            self.follower.run(),
+            self.relay.run(),
+            self.registration.run(),
+            self._probe.run(),
+            self._register_when_ready(),
+            self._watch_settings(),
+            self._maintain(),
+        ):
+            self._spawn(work)
+        gc.collect()
+        gc.freeze()
+        logger.info(
+            "instance %s (%s) started", self.own.identity.instance, self.own.identity.incarnation
+        )
+
+    async def stop(self) -> None:
+        """Leave in stages within the grace period.
+
+        First the instance is neither ready nor registered, while it serves the callers that still
+        come. Then it takes no new requests and ends when those in flight have ended.
+        """
+        grace = self.settings.terms.bounds.grace_s
+        started = time.monotonic()
+        self._is_stopping = True
+        self.front.is_draining = True
+        logger.info("instance %s stops within %g s", self.own.identity.instance, grace)
+        self._withdrawal = asyncio.create_task(self.registration.withdraw())
+        await asyncio.sleep(min(LEAVE_SECONDS, grace * REFUSE_AFTER_SHARE))
+        while time.monotonic() - started < grace * END_SHARE:
+            elapsed = time.monotonic() - started
+            if elapsed >= grace * REFUSE_AFTER_SHARE:
+                self.forwarder.refuses_new = True
+                self.front.stop_listening()
+                if self.front.in_flight == 0:
+                    break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        self.front.close_idle()
+        if self.front.in_flight:
+            logger.warning("stopping cuts off %d requests", self.front.in_flight)
+        await asyncio.sleep(STOP_POLL_SECONDS)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.relay.close()
+        self.store.close()
+        logger.info("instance %s stopped", self.own.identity.instance)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._task_ended)
+        self._tasks.append(task)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        """Ask for the end of the process when a task fails: that is a broken invariant."""
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("a task failed", exc_info=task.exception())
+            self.is_broken = True
+            self.stop_requested.set()
+
+    async def _register_when_ready(self) -> None:
+        while self.forwarder.table is None:
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        key = INSTANCE_PREFIX + self.instances.own_incarnation
+        if not self._is_stopping:
+            self.registration.put(key, encode_record(self.own))
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            self.reload(signalled=False)
+
+    async def _maintain(self) -> None:
+        while True:
+            await asyncio.sleep(MAINTENANCE_SECONDS)
+            for target in self.registry.target_by_id.values():
+                target.pool.close_stale()
+
+    def reload(self, *, signalled: bool) -> None:
+        """Read the settings again; a file that is wrong changes nothing."""
+        try:
+            settings = read_settings(self._path)
+        except Exception as error:
+            logger.error("settings not reloaded: %s", error)
+            return
+        if settings == self._content_seen:
+            if signalled:
+                logger.info("settings reloaded without a change")
+            return
+        self._content_seen = settings
+        self.registry.region_by_failure_domain.update(settings.network.zones)
+        self.settings = settings
+        logger.info("settings reloaded")
+
+    # What is asked of the instance.
+
+    def is_ready(self) -> bool:
+        """Tell whether a configuration is in force and the instance does not leave."""
+        return self.forwarder.table is not None and not self._is_stopping
+
+    def resolve(self, host: str, region: str, failure_domain: str) -> list[str]:
+        """Return the addresses that a caller should use."""
+        table = self.forwarder.table
+        if table is None:
+            return []
+        entrances = [
+            Entrance(r.identity.address, r.identity.failure_domain, r.region)
+            for r in self.instances.records()
+            if not (self._is_stopping and r.identity.incarnation == self.instances.own_incarnation)
+        ]
+        homes = table.home_regions_of(host)
+        found = entrances_for(
+            region, failure_domain, homes, entrances, self.distances.round_trip, self._rng
+        )
+        return [entrance.address for entrance in found]
+
+    async def _serve_metrics(self, request: IngressRequest, responder: Responder) -> None:
+        from prometheus_client import generate_latest
+
+        self._metrics.store_calls.set(self.store.calls)
+        self._metrics.log_lines_dropped.set(self._logs.handler.dropped)
+        table = self.forwarder.table
+        self._metrics.version.set(table.version if table else 0)
+        body = generate_latest(self._metrics.registry)
+        responder.send_whole(200, [(b"content-type", b"text/plain; version=0.0.4")], body)
+
+    def _limits(self) -> IngressLimits:
+        table = self.forwarder.table
+        return table.limits if table is not None else _DEFAULT_LIMITS
+
+    def _make_pool(self, address: Address) -> ConnectionPool:
+        return ConnectionPool(address, CONNECTIONS_PER_TARGET)
+
+    def _make_budget(self) -> RepeatBudget:
+        bounds = self.settings.terms.bounds
+        return RepeatBudget(
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_slack,
+            bounds.budget_window_s,
+            self.instances.count,
+            time.monotonic,
+        )
+
+    # Changes in the store.
+
+    def _configuration_changed(self, rest: str, value: bytes | None) -> None:
+        if rest or value is None:
+            logger.warning(
+                "key %s%s is not a configuration or was removed", CONFIGURATION_KEY, rest
+            )
+            return
+        decoded = decode_configuration(value)
+        if isinstance(decoded, Err):
+            logger.error("configuration not applied: %s", decoded.err_value)
+            return
+        table = decoded.ok_value
+        current = self.forwarder.table
+        if current is not None and table.version <= current.version:
+            logger.warning(
+                "configuration %08x ignored: %08x is in force", table.version, current.version
+            )
+            return
+        self.forwarder.apply(table)
+        self._decisions.write("configuration", version=table.version)
+
+    def _target_changed(self, target_id: str, value: bytes | None) -> None:
+        if value is None:
+            self.registry.remove(target_id)
+            return
+        decoded = decode_target(target_id, value, self.registry.region_by_failure_domain)
+        if isinstance(decoded, Err):
+            logger.warning('entry of target "%s" ignored: %s', target_id, decoded.err_value)
+            return
+        self.registry.apply(decoded.ok_value)
+
+    def _evacuation_changed(self, failure_domain: str, value: bytes | None) -> None:
+        self._decisions.write("evacuation", failure_domain=failure_domain, begun=value is not None)
+        self.registry.set_evacuated(failure_domain, value is not None)
+
+    def _crashes_changed(self, incarnation: str, value: bytes | None) -> None:
+        if incarnation == self.instances.own_incarnation:
+            return
+        self.poison.forget_origin(incarnation)
+        if value is None:
+            return
+        try:
+            counts = msgspec.msgpack.decode(value, type=dict[int, int])
+        except msgspec.DecodeError as error:
+            logger.warning('crash report of "%s" ignored: %s', incarnation, error)
+            return
+        self.poison.merge_report(incarnation, counts)
+
+    def _publish_crashes(self) -> None:
+        counts = self.poison.own_counts()
+        key = CRASH_PREFIX + self.instances.own_incarnation
+        self.registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
+
+    def _instance_changed(self, what: str, incarnation: str) -> None:
+        self._decisions.write(
+            "instance",
+            what=what,
+            incarnation=incarnation,
+            revision=self.mirror.revision,
+            known=self.instances.count(),
+        )
+
+    def _registry_changed(self, what: str, target: RegisteredTarget) -> None:
+        if target.is_gone:
+            self.cold.forget(target.target_id)
+            self.placement.forget(target.target_id)
+        report = target.report
+        self._decisions.write(
+            "target",
+            what=what,
+            target=report.target_id,
+            service=report.service,
+            failure_domain=report.failure_domain,
+            run=report.started_ms,
+            sequence=report.sequence,
+            cold_s=round(max(0.0, target.cold_until - time.monotonic()), 2),
+            revision=self.mirror.revision,
+        )
+
+    def _cold_seconds_of(self, service: str) -> float:
+        table = self.forwarder.table
+        rule = table.rule_by_service.get(service) if table is not None else None
+        return rule.cold_seconds if rule is not None else 0.0
+
+
+_DEFAULT_LIMITS = IngressLimits()
+_PEER_PORT_OFFSET = 7620
+
+
+def _host_of(settings: PlatformSettings) -> str:
+    listen = settings.network.listen
+    for address in (listen.front, listen.ready, listen.control, listen.directory):
+        if address is not None:
+            return Address.parse(address).host
+    return "0.0.0.0"
--- /dev/null
+++ b/src/cassiashore/platform/wire.py
@@ -0,0 +1,28 @@
+"""Names on the platform's wire: headers, keys of its store, and words."""
+
+from __future__ import annotations
+
+from cassiashore._internal.ingress.edge import EdgeHeaders
+
+EDGE_HEADERS = EdgeHeaders(
+    request_id=b"x-cassiashore-request-id",
+    deadline_ms=b"x-cassiashore-deadline-ms",
+    affinity_cookie=b"x-cassiashore-affinity-key",
+    stamp=b"x-cassiashore-response-stamp",
+    # "Instance" is the platform's word for one run of a target.
+    expect_target=b"x-cassiashore-expect-instance",
+    load=b"x-cassiashore-server-load",
+    not_run=b"x-cassiashore-not-executed",
+    cold_ms=b"x-cassiashore-cold-ms",
+)
+
+READY_PATH = "/cassiashore/ready"
+RESOLVE_PATH = "/cassiashore/resolve"
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+TARGET_PREFIX = "servers/"
+
+# Keys of this system's own; the platform does not look into them.
+INSTANCE_PREFIX = "cassiashore/instances/"
+CRASH_PREFIX = "cassiashore/crashes/"
