Give each region's part of the keys by room; do not overflow to busy targets that lack the object

Instances that had just started refused 674 requests in a second for want of a configuration. Change: RegionBalance; overflow only to targets with idle slots; callers can connect once a configuration is there; a shorter wait for a copy from another instance at the start. Ruled out: a cold start of the targets after the final fault; their answer times were warm ones.

--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -54,6 +54,7 @@
     body: bytes
     rest: HttpConnection | None
     seconds: float
+    is_unframed: bool
 
 
 class Proof(Enum):
@@ -84,12 +85,10 @@
     edge: EdgeHeaders,
     deadline: float,
     round_trip: float,
-    silence: float | None,
 ) -> Result[TargetAnswer, Failure]:
     """Send a request to a target and read its answer, until ``deadline`` (monotonic seconds).
 
-    The failure's outcome is "not run" only if no byte of the request was written. With ``silence``,
-    give up after so many seconds without the head of an answer.
+    The failure's outcome is "not run" only if no byte of the request was written.
     """
     connection: HttpConnection | None = None
     pool = target.pool
@@ -100,7 +99,7 @@
         if isinstance(connected, Err):
             return connected
         connection = connected.ok_value
-        answer = await _exchange(send, connection, target, edge, deadline, silence)
+        answer = await _exchange(send, connection, target, edge, deadline)
         if isinstance(answer, Ok):
             answer.ok_value.seconds = time.monotonic() - started
             _note_keep_alive(pool, answer.ok_value.head)
@@ -133,7 +132,6 @@
     target: RegisteredTarget,
     edge: EdgeHeaders,
     deadline: float,
-    silence: float | None,
 ) -> Result[TargetAnswer, Failure]:
     left = deadline - time.monotonic()
     if left <= 0:
@@ -158,10 +156,7 @@
         sender = asyncio.create_task(_send_rest(send, connection))
     try:
         async with asyncio.timeout(left):
-            head = await _head_within(connection, silence)
-            if head is None:
-                detail = f'target "{target.target_id}" was silent for {silence:.2f} s'
-                return Err(Failure.unknown(Reason.TARGET_FAILED, detail))
+            head = await connection.response_head()
             body = await _read_up_to(connection, WHOLE_ANSWER_BYTES)
     except TimeoutError:
         return Err(Failure.unknown(Reason.DEADLINE, "the deadline passed"))
@@ -170,18 +165,7 @@
             connection.abandon_reuse()
             sender.cancel()
     rest = None if connection.fully_read or send.method == "HEAD" else connection
-    return Ok(TargetAnswer(head, body, rest, 0.0))
-
-
-async def _head_within(connection: HttpConnection, silence: float | None) -> ResponseHead | None:
-    if silence is None:
-        return await connection.response_head()
-    waiting = asyncio.ensure_future(connection.response_head())
-    done, _ = await asyncio.wait({waiting}, timeout=silence)
-    if not done:
-        waiting.cancel()
-        return None
-    return waiting.result()
+    return Ok(TargetAnswer(head, body, rest, 0.0, connection.is_unframed))
 
 
 async def _read_up_to(connection: HttpConnection, limit: int) -> bytes:
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from collections.abc import Callable
@@ -152,7 +153,11 @@
             failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
             self._refuse(request, responder, failure, version=table.version)
             return
-        outcome = await self._run(call, send)
+        try:
+            outcome = await self._run(call, send)
+        except asyncio.CancelledError:
+            self._finish(call, "caller-left", None)
+            raise
         if isinstance(outcome, Err):
             self._finish(call, outcome.err_value.reason.value, None)
             self._answer_failure(responder, outcome.err_value, call.retry_after)
@@ -220,49 +225,94 @@
     # Running.
 
     async def _run(self, call: Call, send: Send) -> Result[Delivery, Failure]:
-        """Send the request until it is answered or must not be sent again."""
-        budget = self._budget(call.service)
+        """Send the request until it is answered or must not be sent again.
+
+        A target that stays silent is not given up: while it may still answer, a second one is asked
+        if the request may run twice, and the first whole answer counts.
+        """
+        running: set[asyncio.Task[Result[Delivery, Failure]]] = set()
         kept: Delivery | None = None
-        while True:
-            chosen = self._choose(call)
-            if isinstance(chosen, Err):
-                call.failed(chosen.err_value)
-                break
-            if call.sends > 0 and not budget.try_repeat():
-                call.steps.append(["repeat-budget"])
-                break
-            target = chosen.ok_value.target
-            sent_before = call.sends
-            outcome = await self._send(call, send, chosen.ok_value)
-            if call.sends > sent_before and sent_before == 0:
-                budget.first_send()
-            if isinstance(outcome, Ok):
-                delivery = outcome.ok_value
-                if delivery.answer.head.status < SERVER_ERROR or not self._may_repeat(call, send):
-                    return Ok(delivery)
-                kept = delivery
-                call.tried.add(target.target_id)
-                continue
-            failure = outcome.err_value
-            call.failed(failure)
-            call.tried.add(target.target_id)
-            certain = failure.outcome is Outcome.NOT_RUN
-            if failure.reason is Reason.DEADLINE or send.body.is_streaming:
-                break
-            if not certain and not send.is_idempotent:
-                break
-            if not self._may_repeat(call, send):
-                break
+        first = self._start(call, send)
+        if isinstance(first, Err):
+            return first
+        running.add(first.ok_value)
+        may_hedge = send.is_idempotent and not send.is_streamed
+        try:
+            while running:
+                patience = self._patience(call) if may_hedge and len(running) == 1 else None
+                done, running = await asyncio.wait(
+                    running, timeout=patience, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    may_hedge = False
+                    self._hedge(call, send, running)
+                    continue
+                for task in done:
+                    outcome = task.result()
+                    if isinstance(outcome, Ok):
+                        delivery = outcome.ok_value
+                        if delivery.answer.head.status < SERVER_ERROR or not send.is_idempotent:
+                            return Ok(delivery)
+                        kept = delivery
+                    else:
+                        call.failed(outcome.err_value)
+                    if not running and self._may_repeat(call, send, outcome):
+                        again = self._start(call, send)
+                        if isinstance(again, Ok):
+                            running.add(again.ok_value)
+        finally:
+            for task in running:
+                task.cancel()
         if kept is not None:
             return Ok(kept)
         assert call.worst is not None
         return Err(call.worst)
 
-    def _may_repeat(self, call: Call, send: Send) -> bool:
+    def _start(
+        self, call: Call, send: Send
+    ) -> Result[asyncio.Task[Result[Delivery, Failure]], Failure]:
+        """Begin a send to the best place, or say why there is none."""
+        chosen = self._choose(call)
+        if isinstance(chosen, Err):
+            call.failed(chosen.err_value)
+            return chosen
+        budget = self._budget(call.service)
+        if call.sends == 0:
+            budget.first_send()
+        elif not budget.try_repeat():
+            call.steps.append(["repeat-budget"])
+            failure = Failure.not_run(Reason.REPEAT_BUDGET, "the budget of repeats is used up")
+            call.failed(failure)
+            return Err(failure)
+        call.sends += 1
+        call.tried.add(chosen.ok_value.target.target_id)
+        step = call.steps[-1]
+        return Ok(asyncio.create_task(self._send(call, send, chosen.ok_value, step)))
+
+    def _patience(self, call: Call) -> float:
+        """Return after how many seconds of silence a second target is asked."""
+        return max(MIN_SILENCE_SECONDS, SILENCE_OBJECTIVES * call.route.objective)
+
+    def _hedge(
+        self, call: Call, send: Send, running: set[asyncio.Task[Result[Delivery, Failure]]]
+    ) -> None:
+        if call.sends >= call.route.max_attempts:
+            return
+        again = self._start(call, send)
+        if isinstance(again, Ok):
+            running.add(again.ok_value)
+
+    def _may_repeat(self, call: Call, send: Send, outcome: Result[Delivery, Failure]) -> bool:
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            if failure.reason is Reason.DEADLINE:
+                return False
+            if failure.outcome is not Outcome.NOT_RUN and not send.is_idempotent:
+                return False
         return (
             call.sends < call.route.max_attempts
             and call.unreachable < MAX_UNREACHABLE
-            and not send.is_streamed
+            and not send.body.is_streaming
             and time.monotonic() < call.deadline
             and not self._poison.is_poisonous(call.fingerprint)
         )
@@ -302,36 +352,29 @@
         report = target.report
         return self._cold.try_admit(report.target_id, report.failure_domain, target.region, rate)
 
-    async def _send(self, call: Call, send: Send, chosen: Estimate) -> Result[Delivery, Failure]:
+    async def _send(
+        self, call: Call, send: Send, chosen: Estimate, step: list[object]
+    ) -> Result[Delivery, Failure]:
         """Send once and take in what that says of the target."""
         target = chosen.target
         target.load.in_flight += 1
         started = time.monotonic()
-        call.sends += 1
-        silence = None
-        if send.is_idempotent and call.sends < call.route.max_attempts and not send.is_streamed:
-            silence = max(
-                MIN_SILENCE_SECONDS,
-                SILENCE_OBJECTIVES * call.route.objective + chosen.waiting,
-            )
+        round_trip = self._distances.round_trip(target.region)
         try:
-            outcome = await attempt(
-                send,
-                target,
-                self._edge,
-                call.deadline,
-                self._distances.round_trip(target.region),
-                silence,
-            )
+            outcome = await attempt(send, target, self._edge, call.deadline, round_trip)
         finally:
             target.load.in_flight -= 1
+        step.append(round(time.monotonic() - started, 4))
         if isinstance(outcome, Err):
+            step.append(outcome.err_value.reason.value)
             self._note_failure(call, target, outcome.err_value)
             return outcome
         answer = outcome.ok_value
         self._note_load(target, answer)
         proof = classify(answer.head, self._edge)
-        call.steps[-1].extend([answer.head.status, round(time.monotonic() - started, 4)])
+        step.append(answer.head.status)
+        if answer.is_unframed:
+            step.append("unframed")
         if proof is Proof.RAN:
             self._note_answer(call, chosen, answer)
             return Ok(Delivery(answer, target))
@@ -355,7 +398,6 @@
         )
 
     def _note_failure(self, call: Call, target: RegisteredTarget, failure: Failure) -> None:
-        call.steps[-1].append(failure.reason.value)
         if failure.reason is Reason.DEADLINE:
             return
         if failure.reason is Reason.TARGET_UNREACHABLE:
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -25,7 +25,8 @@
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.5
 RELAY_SILENCE_SECONDS = 1.2
-IDLE_CHECK_SECONDS = 0.2
+IDLE_CHECK_SECONDS = 0.1
+BOOT_PATIENCE_SECONDS = 0.3  # for a copy from another instance, which costs the store nothing
 LEAST_READERS = 2
 OUTAGE_SECONDS = 0.6  # a failed call shorter ago than this is no outage yet
 
@@ -82,7 +83,7 @@
         if now - self._relay_heard_at() < RELAY_SILENCE_SECONDS:
             return False
         if not self._mirror.is_filled and not self._starts_as_reader:
-            return now - self._started_at >= RELAY_SILENCE_SECONDS
+            return now - self._started_at >= BOOT_PATIENCE_SECONDS
         return True
 
     async def _read_once(self) -> bool:
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -90,7 +90,7 @@
         try:
             link = await links.accept(reader, writer, self._own, self._key)
         except _LINK_ERRORS as error:
-            logger.info("a subscriber's stream was refused: %s", error)
+            logger.debug("a stream ended before it was set up: %s", error)
             self._accepted.discard(task)
             return
         try:
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -104,10 +104,15 @@
         if self._has_extra:
             self._fail("the server sent bytes after its answer")
 
+    def eof_received(self) -> bool:
+        """Take an orderly end of the stream as the end of a response without a length."""
+        if self._is_unframed and self._error is None and not self._was_reset():
+            self._complete = True
+            self._wake_body()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake up everything that waits on this connection."""
-        if exc is None and self._is_unframed and self._error is None:
-            self._complete = True
         self._fail("the connection closed" if exc is None else f"the connection failed: {exc}")
 
     def pause_writing(self) -> None:
@@ -194,6 +199,11 @@
         """Tell whether the response is whole and all of its body was read."""
         return self._complete and not self._chunks
 
+    @property
+    def is_unframed(self) -> bool:
+        """Tell whether the response ended, or will end, with the connection."""
+        return self._is_unframed
+
     @property
     def has_head(self) -> bool:
         """Tell whether the head of the response has come."""
@@ -304,6 +314,10 @@
             self._transport.resume_reading()
         return data
 
+    def _was_reset(self) -> bool:
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        return sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
     def _length_is_declared(self) -> bool:
         if not self._expects_body or self._head.status in _BODILESS_STATUSES:
             return True
--- /dev/null
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -0,0 +1,116 @@
+"""How much of a service's requests a region keeps for its own targets.
+
+Load pattern: a third of the callers stand in a region that has an eighth of a service's slots. If
+each request prefers its own region, the targets there are always full, and what overflows goes
+elsewhere to targets that do not keep its object. A stable part of the keys belongs elsewhere for
+good instead, as large as the region lacks room.
+
+The part begins with what the registries show: slots of the region against its share of the
+instances, over which callers are spread. Then it follows the load that targets report, in small
+steps, since every step moves keys to targets that do not keep them yet.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cassiashore._internal.steering.registry import RegisteredTarget
+
+STEP = 0.05  # share of keys moved at a time; two steps in two seconds stay below the shift cap
+MIN_SHARE = 0.1
+FULL_LOAD = 0.8  # busy slots of a region above which keys move away
+LIGHT_LOAD = 0.45  # below which they come back
+NO_LOAD = 0.05  # below which the load says nothing, as before callers come
+LOAD_GAP = 0.15  # by which the other regions must be less loaded
+
+
+@dataclass(frozen=True, slots=True)
+class RegionLoad:
+    """Slots of a service's targets and how many of them are busy."""
+
+    slots: int
+    busy: float
+
+    @property
+    def utilisation(self) -> float:
+        """Return busy slots per slot."""
+        return self.busy / self.slots if self.slots else 1.0
+
+
+def initial_share(own_slots: int, all_slots: int, own_instances: int, all_instances: int) -> float:
+    """Return the part of its requests for which a region has room.
+
+    >>> initial_share(12, 96, 3, 10)
+    0.4
+    >>> initial_share(48, 96, 3, 10)
+    1.0
+    """
+    if own_slots == 0 or own_instances == 0:
+        return MIN_SHARE
+    room = own_slots / max(1, all_slots)
+    demand = own_instances / max(1, all_instances)
+    return min(1.0, max(MIN_SHARE, _rounded(room / demand)))
+
+
+def next_share(share: float, own: RegionLoad, others: RegionLoad) -> float:
+    """Return the part of its requests that a region keeps from now on.
+
+    >>> next_share(0.5, RegionLoad(10, 10), RegionLoad(50, 20))
+    0.45
+    >>> next_share(0.5, RegionLoad(10, 3), RegionLoad(50, 20))
+    0.55
+    """
+    if others.slots == 0:
+        return 1.0
+    if own.utilisation > FULL_LOAD and own.utilisation > others.utilisation + LOAD_GAP:
+        return max(MIN_SHARE, _rounded(share - STEP))
+    if NO_LOAD < own.utilisation < LIGHT_LOAD and share < 1.0:
+        return min(1.0, _rounded(share + STEP))
+    return share
+
+
+def _rounded(share: float) -> float:
+    return round(round(share / STEP) * STEP, 4)
+
+
+class RegionBalance:
+    """The part that the own region keeps, by service."""
+
+    def __init__(self, own_region: str) -> None:
+        """Start with no service known."""
+        self.version = 0
+        self._own_region = own_region
+        self._share_by_service: dict[str, float] = {}
+
+    def share(self, service: str) -> float:
+        """Return the part of a service's requests that the own region keeps."""
+        return self._share_by_service.get(service, 1.0)
+
+    def update(
+        self,
+        service: str,
+        targets: list[RegisteredTarget],
+        own_instances: int,
+        all_instances: int,
+        now: float,
+    ) -> bool:
+        """Take in the load of a service's targets; tell whether the part changed."""
+        here = [t for t in targets if t.region == self._own_region]
+        elsewhere = [t for t in targets if t.region != self._own_region]
+        own, others = _load_of(here, now), _load_of(elsewhere, now)
+        known = self._share_by_service.get(service)
+        if known is None:
+            all_slots = own.slots + others.slots
+            share = initial_share(own.slots, all_slots, own_instances, all_instances)
+        else:
+            share = next_share(known, own, others)
+        if share == known:
+            return False
+        self._share_by_service[service] = share
+        self.version += 1
+        return True
+
+
+def _load_of(targets: list[RegisteredTarget], now: float) -> RegionLoad:
+    slots = sum(t.report.slots for t in targets)
+    return RegionLoad(slots, sum(t.load.busy(now) for t in targets))
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -6,8 +6,12 @@
 
 Targets are ranked for each key by weighted rendezvous hashing (the score ``-weight / ln(u)`` of a
 uniform hash ``u``; the highest wins). A target's weight is its slots, lowered with the part of the
-route's objective that the way to it takes, so every instance of a region ranks alike, and regions
-with few slots for their callers have a stable part of their keys elsewhere.
+route's objective that the way to it takes, so every instance of a region ranks alike. Where the own
+region has few slots for its callers, ``RegionBalance`` says which part of the keys it keeps.
+
+When the targets are busy, a request must not be sent where its object is not kept: it would take
+three times the work, and the throughput of all falls when it is needed most. So only targets with
+idle slots take requests beyond those that rank first for their key.
 """
 
 from __future__ import annotations
@@ -18,6 +22,7 @@
 from dataclasses import dataclass, field
 
 from cassiashore._internal.models.hashing import HASH_RANGE, hash64
+from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 
@@ -31,7 +36,9 @@
 PREFERENCE = 1.15  # the first ranked is taken unless another is faster by more than this
 KEPT_KEYS = 64  # keys remembered for each target
 MIN_SLOWNESS = 2.0  # ratio to the service's mean from which a target counts as slow
-LEAST_LOADED_SAMPLE = 3
+LEAST_LOADED_SAMPLE = 2
+OVERFLOW_UTILISATION = 0.8  # of the next ranked targets, up to which they take another's key
+SPREAD_UTILISATION = 0.5  # of any other target
 
 
 @dataclass(slots=True)
@@ -79,7 +86,7 @@
 
 @dataclass(slots=True)
 class _Rankings:
-    epoch: int
+    state: tuple[int, int]
     order_by_key: OrderedDict[str, list[RegisteredTarget]] = field(default_factory=OrderedDict)
 
 
@@ -90,9 +97,13 @@
         self,
         registry: TargetRegistry,
         distances: RegionDistances,
+        balance: RegionBalance,
+        own_region: str,
         monotonic: Callable[[], float],
     ) -> None:
         """Keep the parts."""
+        self._balance = balance
+        self._own_region = own_region
         self._registry = registry
         self._distances = distances
         self._monotonic = monotonic
@@ -110,8 +121,9 @@
         """Return the targets for a key that take work, best first; only in ``homes`` if any."""
         group = (service, objective, homes)
         rankings = self._rankings_by_service.get(group)
-        if rankings is None or rankings.epoch != self._registry.epoch:
-            rankings = _Rankings(self._registry.epoch)
+        state = (self._registry.epoch, self._balance.version)
+        if rankings is None or rankings.state != state:
+            rankings = _Rankings(state)
             self._rankings_by_service[group] = rankings
         order = rankings.order_by_key.get(key)
         if order is None:
@@ -144,11 +156,17 @@
     ) -> list[Estimate]:
         """Estimate the first ranked targets, and the least loaded of the others."""
         now = self._monotonic()
-        chosen = ranked[:RANKED_CANDIDATES]
-        rest = ranked[RANKED_CANDIDATES:]
-        if rest:
-            rest = sorted(rest, key=lambda t: t.load.busy(now) / max(1, t.report.slots))
-            chosen = chosen + rest[:LEAST_LOADED_SAMPLE]
+        chosen = ranked[:1]
+        for target in ranked[1:RANKED_CANDIDATES]:
+            if self.is_warm(target, key) or _utilisation(target, now) < OVERFLOW_UTILISATION:
+                chosen.append(target)
+        idle = [
+            (utilisation, target.target_id, target)
+            for target in ranked[RANKED_CANDIDATES:]
+            if (utilisation := _utilisation(target, now)) < SPREAD_UTILISATION
+        ]
+        if len(chosen) == 1 and idle:
+            chosen.extend(target for _, _, target in sorted(idle)[:LEAST_LOADED_SAMPLE])
         return [
             self.estimate(target, service, key, objective, first=index == 0)
             for index, target in enumerate(chosen)
@@ -185,21 +203,49 @@
     def _rank(
         self, service: str, key: str, objective: float, homes: frozenset[str]
     ) -> list[RegisteredTarget]:
+        targets = [
+            target
+            for target in self._registry.usable(service)
+            if not homes or target.region in homes
+        ]
+        weights = self._weights(targets, service, objective)
         scored = []
-        for target in self._registry.usable(service):
-            if homes and target.region not in homes:
-                continue
+        for target, weight in zip(targets, weights, strict=True):
             uniform = (hash64(f"{key}\n{target.target_id}") + 1) / (HASH_RANGE + 2)
-            scored.append((self._weight(target, objective) / -math.log(uniform), target))
+            scored.append((weight / -math.log(uniform), target))
         scored.sort(key=lambda pair: -pair[0])
         return [target for _, target in scored]
 
+    def _weights(
+        self, targets: list[RegisteredTarget], service: str, objective: float
+    ) -> list[float]:
+        """Return the weight of each target.
+
+        Those of other regions are raised together until the own region's part of all weights is
+        what it keeps.
+        """
+        weights = [self._weight(target, objective) for target in targets]
+        own = sum(w for w, t in zip(weights, targets, strict=True) if t.region == self._own_region)
+        others = sum(weights) - own
+        share = self._balance.share(service)
+        if own == 0 or others == 0 or own / (own + others) <= share:
+            return weights
+        factor = own * (1 - share) / (share * others)
+        return [
+            weight if target.region == self._own_region else weight * factor
+            for weight, target in zip(weights, targets, strict=True)
+        ]
+
     def _weight(self, target: RegisteredTarget, objective: float) -> float:
         share = self._distances.round_trip(target.region) / max(objective, 0.001)
         e_folds = round(DISTANCE_AVERSION * share * WEIGHT_STEPS_PER_E_FOLD)
         return target.report.slots * math.exp(-e_folds / WEIGHT_STEPS_PER_E_FOLD)
 
 
+def _utilisation(target: RegisteredTarget, now: float) -> float:
+    return target.load.busy(now) / max(1, target.report.slots)
+
+
 def best_of(estimates: list[Estimate]) -> Estimate:
     """Return the estimate to go by: the first one unless another is clearly faster."""
     first = estimates[0]
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -28,6 +28,7 @@
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.directory import Entrance, entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
@@ -61,6 +62,9 @@
 END_SHARE = 0.93  # of the grace period; the process ends before it is killed
 LEAVE_SECONDS = 2.0  # callers and the platform learn within this time that the instance leaves
 STOP_POLL_SECONDS = 0.05
+BOOT_SECONDS = 1.5  # to have a configuration, before callers are told that there is none
+BOOT_POLL_SECONDS = 0.01
+BALANCE_SECONDS = 1.0
 PEER_KEY = b"cassiashore"  # the platform gives no secret; docs/SECURITY.md
 
 
@@ -106,7 +110,10 @@
         self.distances = RegionDistances(self.own.region)
         zones = dict(settings.network.zones)
         self.registry = TargetRegistry(zones, self._make_pool, time.monotonic)
-        self.placement = Placement(self.registry, self.distances, time.monotonic)
+        self.balance = RegionBalance(self.own.region)
+        self.placement = Placement(
+            self.registry, self.distances, self.balance, self.own.region, time.monotonic
+        )
         self.poison = PoisonRegistry(limit=POISON_CRASHES)
         bounds = settings.terms.bounds
         self.cold = ColdAdmission(
@@ -175,14 +182,8 @@
     async def start(self) -> None:
         """Listen and start all tasks; raise ``OSError`` when an address is taken."""
         listen = self.settings.network.listen
-        for face, address in (
-            (self.front, listen.front),
-            (self._ready_face, listen.ready),
-            (self._directory_face, listen.directory),
-        ):
-            if address is not None:
-                where = Address.parse(address)
-                await face.listen(where.host, where.port, BACKLOG)
+        await _listen(self._ready_face, listen.ready)
+        await _listen(self._directory_face, listen.directory)
         if self._metrics_port is not None:
             await self._metrics_face.listen(_host_of(self.settings), self._metrics_port, BACKLOG)
         await self.relay.listen(Address.parse(self.own.identity.peer_address))
@@ -194,8 +195,11 @@
             self._register_when_ready(),
             self._watch_settings(),
             self._maintain(),
+            self._balance_regions(),
         ):
             self._spawn(work)
+        await self._wait_for_configuration()
+        await _listen(self.front, listen.front)
         gc.collect()
         gc.freeze()
         logger.info(
@@ -253,6 +257,25 @@
         if not self._is_stopping:
             self.registration.put(key, encode_record(self.own))
 
+    async def _wait_for_configuration(self) -> None:
+        """Wait a moment before callers can connect: they would be turned away without one."""
+        until = time.monotonic() + BOOT_SECONDS
+        while self.forwarder.table is None and time.monotonic() < until:
+            await asyncio.sleep(BOOT_POLL_SECONDS)
+
+    async def _balance_regions(self) -> None:
+        while True:
+            await asyncio.sleep(BALANCE_SECONDS)
+            now = time.monotonic()
+            records = self.instances.records()
+            here = sum(record.region == self.own.region for record in records)
+            for service, targets in self.registry.targets_by_service.items():
+                usable = [target for target in targets if target.takes_work]
+                if usable and self.balance.update(service, usable, here, len(records), now):
+                    self._decisions.write(
+                        "balance", service=service, own_share=self.balance.share(service)
+                    )
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
@@ -419,6 +442,12 @@
 _PEER_PORT_OFFSET = 7620
 
 
+async def _listen(face: IngressServer, address: str | None) -> None:
+    if address is not None:
+        where = Address.parse(address)
+        await face.listen(where.host, where.port, BACKLOG)
+
+
 def _host_of(settings: PlatformSettings) -> str:
     listen = settings.network.listen
     for address in (listen.front, listen.ready, listen.control, listen.directory):
--- /dev/null
+++ b/tests/lib/ingress.py
@@ -0,0 +1,137 @@
+"""An ingress with a forwarder on loopback, and a raw client for it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+from cassiashore._internal.ingress.connection import IngressServer
+from cassiashore._internal.ingress.forwarder import Forwarder
+from cassiashore._internal.observability.logs import DecisionLog
+from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.steering.balance import RegionBalance
+from cassiashore._internal.steering.cold import Candidate, ColdAdmission
+from cassiashore._internal.steering.distance import RegionDistances
+from cassiashore._internal.steering.placement import Placement
+from cassiashore._internal.steering.registry import TargetRegistry
+from cassiashore._internal.steering.repeats import RepeatBudget
+from cassiashore._internal.steering.routes import IngressLimits, RouteTable
+from cassiashore.platform.wire import EDGE_HEADERS
+from tests.lib.steering_builders import registry
+
+SOON = 5.0  # bounds a wait of a test; nothing is asserted about time
+
+
+@dataclass
+class Ingress:
+    """A running ingress."""
+
+    server: IngressServer
+    forwarder: Forwarder
+    registry: TargetRegistry
+    poison: PoisonRegistry
+    address: tuple[str, int]
+
+    async def open(self) -> RawClient:
+        reader, writer = await asyncio.open_connection(*self.address)
+        return RawClient(reader, writer)
+
+    async def ask(self, request: bytes) -> tuple[int, dict[str, str], bytes]:
+        client = await self.open()
+        client.send(request)
+        try:
+            return await client.receive()
+        finally:
+            client.close()
+
+
+@dataclass
+class RawClient:
+    """A client that sends bytes and reads answers."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def receive(self) -> tuple[int, dict[str, str], bytes]:
+        async with asyncio.timeout(SOON):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+            status = int(lines[0].split(" ")[1])
+            if headers.get("transfer-encoding") == "chunked":
+                return status, headers, await self._chunks()
+            length = int(headers.get("content-length", "0"))
+            return status, headers, await self.reader.readexactly(length)
+
+    async def _chunks(self) -> bytes:
+        body = b""
+        while True:
+            size = int((await self.reader.readline()).strip(), 16)
+            body += await self.reader.readexactly(size)
+            await self.reader.readline()
+            if size == 0:
+                return body
+
+    async def rest(self) -> bytes:
+        async with asyncio.timeout(SOON):
+            return await self.reader.read()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+def request(
+    path: str = "/a/1",
+    *,
+    method: str = "GET",
+    request_id: str = "id-1",
+    body: bytes = b"",
+    extra: str = "",
+    key: str = "17",
+) -> bytes:
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Cassiashore-Request-Id: {request_id}\r\n"
+        f"Cookie: X-Cassiashore-Affinity-Key={key}\r\n{length}{extra}\r\n"
+    ).encode() + body
+
+
+async def start_ingress(
+    table: RouteTable | None, *, limits: IngressLimits | None = None
+) -> Ingress:
+    targets = registry()
+    distances = RegionDistances("erie")
+    monotonic = time.monotonic
+    targets._monotonic = monotonic
+    placement = Placement(targets, distances, RegionBalance("erie"), "erie", monotonic)
+    poison = PoisonRegistry(limit=3)
+    cold = ColdAdmission(
+        "me", lambda: [Candidate("me", "erie-a", "erie")], monotonic, overshoot=1.5, slack=5
+    )
+    forwarder = Forwarder(
+        EDGE_HEADERS,
+        targets,
+        placement,
+        distances,
+        cold,
+        poison,
+        lambda: RepeatBudget(0.2, 60, 10.0, lambda: 1, monotonic),
+        DecisionLog(),
+        Metrics(),
+        random.Random(1),
+    )
+    if table is not None:
+        forwarder.apply(table)
+    bounds = limits or (table.limits if table is not None else IngressLimits())
+    server = IngressServer(forwarder.handle, lambda: bounds)
+    await server.listen("127.0.0.1", 0, 64)
+    assert server._server is not None
+    address = server._server.sockets[0].getsockname()
+    return Ingress(server, forwarder, targets, poison, address)
--- /dev/null
+++ b/tests/lib/steering_builders.py
@@ -0,0 +1,146 @@
+"""Builders of test data for steering: routes, reports of targets, a clock, a target server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.net.pool import ConnectionPool
+from cassiashore._internal.steering.registry import TargetRegistry, TargetReport
+from cassiashore._internal.steering.routes import (
+    IngressLimits,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceRule,
+    SplitPart,
+)
+
+ZONES = {"erie-a": "erie", "erie-b": "erie", "huron-a": "huron"}
+
+
+@dataclass(slots=True)
+class Clock:
+    """A clock that tests move."""
+
+    now: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def route(
+    *,
+    name: str = "r",
+    kind: RequestKind = RequestKind.IDEMPOTENT,
+    service: str = "stock",
+    timeout: float = 2.0,
+    objective: float = 0.25,
+    max_attempts: int = 2,
+    homes: frozenset[str] = frozenset(),
+    priority: int = 0,
+) -> Route:
+    return Route(
+        name=name,
+        host="shop.example",
+        prefix="/a/",
+        kind=kind,
+        timeout=timeout,
+        objective=objective,
+        priority=priority,
+        max_attempts=max_attempts,
+        parts=(SplitPart(service, 1.0),),
+        uses_affinity=True,
+        home_regions=homes,
+    )
+
+
+def table(*routes: Route, version: int = 1, limits: IngressLimits | None = None) -> RouteTable:
+    names = {part.service for r in routes for part in r.parts}
+    rules = [ServiceRule(name, "/health", 100, 3.0, 10.0) for name in names]
+    return RouteTable.build(version, routes, rules, limits or IngressLimits())
+
+
+def report(
+    target_id: str = "t-1",
+    *,
+    started: int = 1000,
+    sequence: int = 1,
+    service: str = "stock",
+    address: str = "127.0.0.1:9001",
+    failure_domain: str = "erie-a",
+    slots: int = 6,
+    draining: bool = False,
+    cold: float = 0.0,
+) -> TargetReport:
+    return TargetReport(
+        target_id=target_id,
+        started_ms=started,
+        sequence=sequence,
+        service=service,
+        address=Address.parse(address),
+        failure_domain=failure_domain,
+        slots=slots,
+        is_draining=draining,
+        cold_seconds=cold,
+    )
+
+
+def registry(clock: Clock | None = None) -> TargetRegistry:
+    return TargetRegistry(
+        dict(ZONES), lambda address: ConnectionPool(address, 64), clock or Clock()
+    )
+
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter, bytes], Awaitable[None]]
+
+
+@dataclass
+class FakeTarget:
+    """A target that answers each request with what a test says; counts requests and connections."""
+
+    serve: Serve
+    heads: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    lost: int = 0
+    address: str = ""
+    server: asyncio.Server | None = None
+
+    async def start(self) -> FakeTarget:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                await self.serve(reader, writer, head)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost += 1
+        finally:
+            writer.close()
+
+
+def header_of(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b": ")
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def answer(
+    head: bytes, body: bytes = b"ok", *, status: bytes = b"200 OK", extra: bytes = b""
+) -> bytes:
+    """Return a whole answer of a target to the request with a head."""
+    request_id = header_of(head, b"x-cassiashore-request-id")
+    return (
+        b"HTTP/1.1 %b\r\nX-Cassiashore-Request-Id: %b\r\nX-Cassiashore-Response-Stamp: s\r\n"
+        b"%bContent-Length: %d\r\n\r\n%b" % (status, request_id, extra, len(body), body)
+    )
