--- a/src/cassiashore/_internal/mirror/mirror.py
+++ b/src/cassiashore/_internal/mirror/mirror.py
@@ -20,7 +20,8 @@
 
     Changes come from watching the store or from another instance that does; what is older than
     what is known has no effect, so both may be used side by side. After an outage removals are
-    held back for ``RETURN_SECONDS``: keys whose lease ran out meanwhile are about to be back.
+    held back for ``RETURN_SECONDS``: keys whose lease ran out meanwhile are about to be back. Until
+    then they are doubtful.
     """
 
     def __init__(self, monotonic: Callable[[], float]) -> None:
@@ -29,6 +30,7 @@
         self.item_by_key: dict[str, Change] = {}
         self.current_at = float("-inf")
         self.on_batch: Callable[[ChangeBatch], None] = lambda batch: None
+        self.on_doubt: Callable[[str], None] = lambda key: None
         self._monotonic = monotonic
         self._listener_by_prefix: dict[str, Listener] = {}
         self._removed_at: dict[str, int] = {}
@@ -119,6 +121,7 @@
             del self._removed_at[next(iter(self._removed_at))]
         if self._holds_back():
             self._held_removals.add(change.key)
+            self.on_doubt(change.key)
         else:
             self._tell(change.key, None)
 
--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -64,6 +64,7 @@
     async def withdraw(self) -> None:
         """Remove the keys by ending the lease, once and without waiting long."""
         self.wanted_by_key.clear()
+        self._written_by_key.clear()
         if self._lease_id:
             ended = await self._store.end_lease(self._lease_id)
             if isinstance(ended, Err):
--- a/src/cassiashore/_internal/net/http_call.py
+++ b/src/cassiashore/_internal/net/http_call.py
@@ -30,13 +30,18 @@
     """Calls one server over pooled connections."""
 
     def __init__(
-        self, name: str, address: Address, connections: int, timeout: float, max_bytes: int
+        self,
+        name: str,
+        address: Address,
+        connections: int,
+        connect_timeout: float,
+        max_bytes: int,
     ) -> None:
-        """Keep limits: ``timeout`` seconds to connect, ``max_bytes`` for the body of an answer."""
+        """Keep limits: seconds to connect, and ``max_bytes`` for the body of an answer."""
         self.calls = 0
         self._name = name
         self._host = str(address).encode()
-        self._pool = ConnectionPool(address, connections, connect_timeout=timeout)
+        self._pool = ConnectionPool(address, connections, connect_timeout=connect_timeout)
         self._max_bytes = max_bytes
 
     async def call(
@@ -48,7 +53,7 @@
         finished = False
         try:
             async with asyncio.timeout(timeout):
-                acquired = await self._pool.acquire(connect_timeout=timeout)
+                acquired = await self._pool.acquire()
                 if isinstance(acquired, Err):
                     return Err(CallFault(acquired.err_value, sent=False))
                 connection = acquired.ok_value
--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -20,7 +20,7 @@
 MIN_SHARE = 0.1
 FULL_LOAD = 0.8  # busy slots of a region above which keys move away
 LIGHT_LOAD = 0.45  # below which they come back
-NO_LOAD = 0.05  # below which the load says nothing, as before callers come
+NO_LOAD = 0.05  # of all slots; below it the load says nothing, as before callers come
 LOAD_GAP = 0.15  # by which the other regions must be less loaded
 
 
@@ -64,7 +64,7 @@
         return 1.0
     if own.utilisation > FULL_LOAD and own.utilisation > others.utilisation + LOAD_GAP:
         return max(MIN_SHARE, _rounded(share - STEP))
-    if NO_LOAD < own.utilisation < LIGHT_LOAD and share < 1.0:
+    if own.utilisation < LIGHT_LOAD and share < 1.0:
         return min(1.0, _rounded(share + STEP))
     return share
 
@@ -99,7 +99,7 @@
         elsewhere = [t for t in targets if t.region != self._own_region]
         own, others = _load_of(here, now), _load_of(elsewhere, now)
         known = self._share_by_service.get(service)
-        if known is None:
+        if known is None or own.busy + others.busy <= NO_LOAD * (own.slots + others.slots):
             all_slots = own.slots + others.slots
             share = initial_share(own.slots, all_slots, own_instances, all_instances)
         else:
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -63,22 +63,36 @@
         self._overshoot = overshoot
         self._slack = slack
         self._window_by_target: dict[str, SlidingWindow] = {}
+        self._senders_by_target: dict[str, tuple[Sequence[Candidate], list[str]]] = {}
 
     def allowance(self, target_id: str, failure_domain: str, region: str, cold_rate: float) -> int:
         """Return how many requests this instance may send to a cold target in any second."""
-        limit = (cold_rate * self._overshoot + self._slack) / OVERLAPPING_SETS
-        count = max(1, min(MAX_SENDERS, int(limit)))
-        senders = senders_to(target_id, failure_domain, region, self._instances(), count)
-        if self._own not in senders:
+        limit = int((cold_rate * self._overshoot + self._slack) / OVERLAPPING_SETS)
+        if limit < 1:
+            return 0  # two sets of senders could not even send one each; the target warms up alone
+        count = min(MAX_SENDERS, limit)
+        if self._own not in self._senders(target_id, failure_domain, region, count):
             return 0
-        return max(1, int(limit / count)) if limit >= 1 else 0
+        return limit // count
 
     def try_admit(self, target_id: str, failure_domain: str, region: str, cold_rate: float) -> bool:
         """Count one request to a cold target if that is allowed; tell whether it is."""
-        window = self._window_by_target.setdefault(target_id, SlidingWindow(WINDOW_SECONDS))
+        window = self._window_by_target.get(target_id)
+        if window is None:
+            window = self._window_by_target[target_id] = SlidingWindow(WINDOW_SECONDS)
         allowed = self.allowance(target_id, failure_domain, region, cold_rate)
         return allowed > 0 and window.try_add(self._monotonic(), allowed)
 
     def forget(self, target_id: str) -> None:
         """Drop the count of a target that is gone."""
         self._window_by_target.pop(target_id, None)
+        self._senders_by_target.pop(target_id, None)
+
+    def _senders(self, target_id: str, failure_domain: str, region: str, count: int) -> list[str]:
+        """Return the senders, which change only with the instances."""
+        instances = self._instances()
+        known = self._senders_by_target.get(target_id)
+        if known is None or known[0] is not instances:
+            senders = senders_to(target_id, failure_domain, region, instances, count)
+            known = self._senders_by_target[target_id] = (instances, senders)
+        return known[1]
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -14,6 +14,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_REMEMBERED_REPORTS = 4096
+SURE_SHARE = 0.6  # of a service's targets that suffices without the doubtful ones
 COLD_MARGIN_SECONDS = 0.5  # reports travel through the store before they are read
 
 
@@ -53,6 +54,7 @@
     cold_until: float = float("-inf")
     is_evacuated: bool = False
     is_gone: bool = False
+    is_doubtful: bool = False
 
     @property
     def target_id(self) -> str:
@@ -149,15 +151,29 @@
         target.cold_until = max(target.cold_until, self._monotonic() + seconds)
 
     def usable(self, service: str) -> list[RegisteredTarget]:
-        """Return the targets of a service that take new work."""
-        return [t for t in self.targets_by_service.get(service, ()) if t.takes_work]
+        """Return the targets of a service that take new work.
+
+        An outage of the store makes all entries lapse. If only few of them are missing after one,
+        those targets have probably left, and the others are enough.
+        """
+        targets = [t for t in self.targets_by_service.get(service, ()) if t.takes_work]
+        sure = [t for t in targets if not t.is_doubtful]
+        return sure if len(sure) >= len(targets) * SURE_SHARE else targets
+
+    def doubt(self, target_id: str) -> None:
+        """Take in that a target's entry is missing after an outage and may come back."""
+        target = self.target_by_id.get(target_id)
+        if target is not None and not target.is_doubtful:
+            target.is_doubtful = True
+            self._changed("entry missing", target)
 
     def _update(self, known: RegisteredTarget, report: TargetReport) -> bool:
         if report.address != known.report.address or report.service != known.report.service:
             self.remove(report.target_id, "moved")
             self._add(report, None)
             return True
-        was_taking = known.takes_work
+        was_taking = known.takes_work and not known.is_doubtful
+        known.is_doubtful = False
         slots_changed = known.report.slots != report.slots
         known.report = report
         if report.cold_seconds > 0:
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -172,6 +172,7 @@
         mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
         mirror.listen(INSTANCE_PREFIX, self.instances.changed)
         mirror.listen(CRASH_PREFIX, self._crashes_changed)
+        mirror.on_doubt = self._doubted
         self.instances.on_change = self._instance_changed
         self.registry.on_change = self._registry_changed
         self.registry.cold_seconds_of = self._cold_seconds_of
@@ -384,6 +385,10 @@
             return
         self.registry.apply(decoded.ok_value)
 
+    def _doubted(self, key: str) -> None:
+        if key.startswith(TARGET_PREFIX):
+            self.registry.doubt(key.removeprefix(TARGET_PREFIX))
+
     def _evacuation_changed(self, failure_domain: str, value: bytes | None) -> None:
         self._decisions.write("evacuation", failure_domain=failure_domain, begun=value is not None)
         self.registry.set_evacuated(failure_domain, value is not None)
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,178 @@
+"""Placement and overload, replayed on the load patterns that they answer."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+
+import pytest
+
+from cassiashore._internal.steering.balance import RegionBalance
+from cassiashore._internal.steering.distance import RegionDistances
+from cassiashore._internal.steering.overload import Urgency, Verdict, decide
+from cassiashore._internal.steering.placement import Placement, best_of
+from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from tests.lib.steering_builders import Clock, registry, report
+
+NOWHERE: frozenset[str] = frozenset()
+OBJECTIVE = 0.25
+DEADLINE = 2.0
+WARM_SECONDS, UNKNOWN_SECONDS = 0.108, 0.36
+KEPT = 64
+
+
+def place(targets: TargetRegistry, clock: Clock, balance: RegionBalance | None = None) -> Placement:
+    distances = RegionDistances("erie")
+    distances.measured("erie", 0.002)
+    distances.measured("huron", 0.04)
+    return Placement(targets, distances, balance or RegionBalance("erie"), "erie", clock)
+
+
+def with_targets(clock: Clock, *, near: int, far: int, slots: int = 6) -> TargetRegistry:
+    targets = registry(clock)
+    for number in range(near + far):
+        domain = "erie-a" if number < near else "huron-a"
+        address = f"127.0.0.1:{9000 + number}"
+        targets.apply(report(f"t-{number}", address=address, failure_domain=domain, slots=slots))
+    return targets
+
+
+def test_a_key_keeps_its_target_while_others_come_and_go() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=8, far=0)
+    placement = place(targets, clock)
+    keys = [str(n) for n in range(400)]
+
+    def owners() -> dict[str, str]:
+        return {k: placement.ranked("stock", k, OBJECTIVE, NOWHERE)[0].target_id for k in keys}
+
+    before = owners()
+    targets.remove("t-3")
+    after = owners()
+    assert all(after[k] == before[k] for k in keys if before[k] != "t-3")
+    assert len({after[k] for k in keys if before[k] == "t-3"}) > 1
+
+
+def test_homes_bind_whatever_the_load() -> None:
+    clock = Clock()
+    placement = place(with_targets(clock, near=3, far=3), clock)
+    ranked = placement.ranked("stock", "k", OBJECTIVE, frozenset({"huron"}))
+    assert {target.region for target in ranked} == {"huron"}
+
+
+def test_a_region_with_little_room_has_a_stable_part_of_its_keys_elsewhere() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=2, far=14)
+    balance = RegionBalance("erie")
+    placement = place(targets, clock, balance)
+    balance.update("stock", targets.usable("stock"), 3, 10, clock.now)
+    assert balance.share("stock") == pytest.approx(0.4)
+    keys = [str(n) for n in range(4000)]
+    regions = Counter(placement.ranked("stock", key, OBJECTIVE, NOWHERE)[0].region for key in keys)
+    assert regions["erie"] / len(keys) == pytest.approx(0.4, abs=0.04)
+
+
+@dataclass
+class SimulatedTarget:
+    """A target with slots and a queue, which keeps the objects that it handled last."""
+
+    slots: int
+    busy_until: list[float] = field(default_factory=list)
+    kept: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def serve(self, key: str, now: float) -> float:
+        """Return when a request that comes now is answered."""
+        while self.busy_until and self.busy_until[0] <= now:
+            heapq.heappop(self.busy_until)
+        start = now
+        if len(self.busy_until) >= self.slots:
+            start = sorted(self.busy_until)[len(self.busy_until) - self.slots]
+        work = WARM_SECONDS if key in self.kept else UNKNOWN_SECONDS
+        self.kept[key] = None
+        self.kept.move_to_end(key)
+        if len(self.kept) > KEPT:
+            self.kept.popitem(last=False)
+        heapq.heappush(self.busy_until, start + work)
+        return start + work
+
+
+@dataclass
+class Replayed:
+    in_time: int = 0
+    late: int = 0
+    turned_away: int = 0
+    hopeless: int = 0
+
+
+def replay(rate_by_second: list[float], *, seed: int = 3) -> Replayed:
+    """Replay arrivals of one service on eight targets through one instance."""
+    clock = Clock(0.0)
+    targets = with_targets(clock, near=8, far=0)
+    placement = place(targets, clock)
+    servers = {name: SimulatedTarget(6) for name in targets.target_by_id}
+    rng = random.Random(seed)
+    result = Replayed()
+    ends: list[tuple[float, int, RegisteredTarget, str, float, float]] = []
+    count = 0
+    for second, rate in enumerate(rate_by_second):
+        clock.now = float(second)
+        while clock.now < second + 1:
+            clock.now += rng.expovariate(rate)
+            while ends and ends[0][0] <= clock.now:
+                at, _, target, key, begun, waited = heapq.heappop(ends)
+                target.load.in_flight -= 1
+                placement.answered(target, "stock", key, at - begun, waited)
+            key = str(int(rng.triangular(0, 82, 20)))
+            ranked = list(placement.ranked("stock", key, OBJECTIVE, NOWHERE))
+            best = best_of(placement.estimates(ranked, "stock", key, OBJECTIVE))
+            decision = decide(best, Urgency(DEADLINE, OBJECTIVE, 2), rng)
+            if decision.verdict is Verdict.TURN_AWAY:
+                result.turned_away += 1
+                continue
+            end = servers[best.target.target_id].serve(key, clock.now)
+            best.target.load.in_flight += 1
+            count += 1
+            heapq.heappush(ends, (end, count, best.target, key, clock.now, best.waiting))
+            took = end - clock.now
+            if took <= OBJECTIVE:
+                result.in_time += 1
+            elif took <= DEADLINE:
+                result.late += 1
+            else:
+                result.hopeless += 1
+    return result
+
+
+def test_twice_the_demand_still_gives_the_targets_throughput_in_time() -> None:
+    """Queues that grow until every answer is late would give next to nothing in time."""
+    capacity = 8 * 6 / WARM_SECONDS
+    result = replay([200.0] * 5 + [2 * capacity] * 8)
+    overload_arrivals = 2 * capacity * 8
+    assert result.hopeless == 0
+    assert result.in_time >= 0.35 * overload_arrivals
+    assert result.late <= 0.1 * overload_arrivals
+
+
+def test_after_a_burst_everything_is_served_in_time_again() -> None:
+    """Overflow to targets that lack the object would keep them busy after the burst, too."""
+    calm = replay([250.0] * 24)
+    burst = replay([250.0] * 6 + [900.0] * 3 + [250.0] * 15)
+    assert burst.late <= calm.late + 0.15 * 2700
+    assert burst.turned_away <= 0.75 * 2700
+
+
+def test_a_request_without_time_left_is_turned_away_unless_a_slot_is_free() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=1, far=0, slots=1)
+    placement = place(targets, clock)
+    ranked = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    rng = random.Random(1)
+    urgency = Urgency(0.001, OBJECTIVE, 0)
+    idle = best_of(placement.estimates(list(ranked), "stock", "k", OBJECTIVE))
+    assert decide(idle, urgency, rng).verdict is Verdict.SEND
+    ranked[0].load.in_flight = 5
+    busy = best_of(placement.estimates(list(ranked), "stock", "k", OBJECTIVE))
+    decision = decide(busy, urgency, rng)
+    assert decision.verdict is Verdict.TURN_AWAY and decision.retry_after > 0
