Say at once when the store cannot be followed; shorter watches

An instance that followed it for others went on sending beats, and its followers took knowledge of up to 3 s as current, more than the 2.5 s in which a configuration must be in force. Change: a watch waits 1 s instead of 2; beats say when the store cannot be followed; a follower goes by beats of less than 1.8 s and then reads the store itself.

--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -20,7 +20,7 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_SECONDS = 2.0  # bounds the time until a silent connection is noticed, with the call's margin
+WATCH_SECONDS = 1.0  # bounds the time until a silent connection is noticed, with the call's margin
 MIN_WATCH_INTERVAL_SECONDS = 0.25  # changes come in groups; each answered watch is a call
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.25
@@ -56,6 +56,11 @@
         self._retry = FIRST_RETRY_SECONDS
         self._needs_copy = False
 
+    @property
+    def is_failing(self) -> bool:
+        """Tell whether the last call to the store failed."""
+        return self._failing_since is not None
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -26,7 +26,8 @@
 logger = logging.getLogger(__name__)
 
 BEAT_SECONDS = 0.4  # a third of the silence after which a follower reads the store itself
-FRESH_SECONDS = 3.0  # a sender whose own knowledge is older is of no use
+FRESH_SECONDS = 1.8  # the longest watch with its call, and a beat; older knowledge may miss changes
+STALE_MS = 60_000  # told while the store cannot be followed
 REDIAL_SECONDS = 0.5
 MAX_SOURCES = 2
 BOOT_SOURCES = 3
@@ -47,8 +48,8 @@
         region_distance: Callable[[str], float],
     ) -> None:
         """Create a relay without streams; ``seeds`` are tried until instances are known."""
-        self.heard_at = float("-inf")
-        self.bytes_out = 0
+        self.is_failing: Callable[[], bool] = lambda: False
+        self._heard_by_source: dict[Address, float] = {}
         self._own = own
         self._key = key
         self._mirror = mirror
@@ -61,6 +62,11 @@
         self._accepted: set[asyncio.Task[None]] = set()
         mirror.on_batch = self._publish
 
+    @property
+    def heard_at(self) -> float:
+        """Return when a source last told that the mirror is current."""
+        return max(self._heard_by_source.values(), default=float("-inf"))
+
     async def listen(self, address: Address) -> None:
         """Accept subscribers; raise ``OSError`` when the address is taken."""
         self._server = await asyncio.start_server(self._accept, address.host, address.port)
@@ -122,7 +128,8 @@
         age = time.monotonic() - self._mirror.current_at
         if not self._mirror.is_filled or age == float("inf"):
             return
-        beat = FeedBeat(self._mirror.revision, int(age * 1000))
+        age_ms = STALE_MS if self.is_failing() else int(age * 1000)
+        beat = FeedBeat(self._mirror.revision, age_ms)
         for link in subscribers:
             link.send(beat)
 
@@ -161,14 +168,15 @@
                 continue
             logger.info("subscribed to %s at %s", link.peer.instance, address)
             try:
-                await self._receive(link)
+                await self._receive(address, link)
             except _LINK_ERRORS as error:
                 logger.info("the subscription to %s ended: %s", address, error)
             finally:
+                self._heard_by_source.pop(address, None)
                 link.abort()
             await asyncio.sleep(REDIAL_SECONDS)
 
-    async def _receive(self, link: PeerLink) -> None:
+    async def _receive(self, address: Address, link: PeerLink) -> None:
         link.send(FeedWanted(self._mirror.revision))
         while True:
             async with asyncio.timeout(LINK_SILENCE_SECONDS):
@@ -181,6 +189,8 @@
                     link.send(FeedWanted(self._mirror.revision))
             elif isinstance(message, FeedBeat):
                 age = message.age_ms / 1000
-                if message.revision <= self._mirror.revision and age < FRESH_SECONDS:
-                    self.heard_at = now
+                if age >= FRESH_SECONDS:
+                    self._heard_by_source.pop(address, None)
+                elif message.revision <= self._mirror.revision:
+                    self._heard_by_source[address] = now
                     self._mirror.confirmed(now, age)
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -155,6 +155,7 @@
             is_seed,
             self._rng,
         )
+        self.relay.is_failing = lambda: self.follower.is_failing
         self._probe = DistanceProbe(self.instances, self.distances, self._rng)
 
     def _build_faces(self, settings: PlatformSettings) -> None:
--- a/src/cassiashore/platform/store.py
+++ b/src/cassiashore/platform/store.py
@@ -28,7 +28,7 @@
 CONNECTIONS = 4  # a watch, a renewal, a write and one to spare
 CONNECT_SECONDS = 0.5  # an opening packet lost in a cut is repeated by a new attempt, not after 1 s
 CALL_SECONDS = 1.0  # an answer takes milliseconds; 50 times that when the store is slow
-WATCH_MARGIN_SECONDS = 0.7
+WATCH_MARGIN_SECONDS = 0.6
 MAX_ANSWER_BYTES = 16 << 20
 MAX_PAGES = 200
 EVERYTHING = ""
