Let one instance of each region decide which part of the keys the region keeps

Change: the region's reader of the store decides, at most one step of 0.1 in 2 s, and writes it to the store; the others follow.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -82,6 +82,14 @@
             ]
         return self._candidates
 
+    def decides_for_region(self) -> bool:
+        """Tell whether this is the instance that decides for its region."""
+        near = [r for r in self.records() if r.region == self.own.region]
+        if not near:
+            return False
+        first = min(near, key=lambda r: hash64(r.identity.incarnation))
+        return first.identity.incarnation == self.own_incarnation
+
     def store_readers(self, least: int) -> list[InstanceRecord]:
         """Return the instances that follow the store for the others.
 
--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -7,7 +7,9 @@
 
 The part begins with what the registries show: slots of the region against its share of the
 instances, over which callers are spread. Then it follows the load that targets report, in small
-steps, since every step moves keys to targets that do not keep them yet.
+steps, since every step moves keys to targets that do not keep them yet. One instance of the region
+decides for all of them: if each followed what it sees itself, they would send one key to several
+targets, which would all have to keep it.
 """
 
 from __future__ import annotations
@@ -16,7 +18,9 @@
 
 from cassiashore._internal.steering.registry import RegisteredTarget
 
-STEP = 0.05  # share of keys moved at a time; two steps in two seconds stay below the shift cap
+ROUNDING = 0.05
+STEP = 0.1  # share of keys moved at a time; once in ``STEP_SECONDS`` it stays below the shift cap
+STEP_SECONDS = 2.0
 MIN_SHARE = 0.1
 FULL_LOAD = 0.8  # busy slots of a region above which keys move away
 LIGHT_LOAD = 0.45  # below which they come back
@@ -56,9 +60,9 @@
     """Return the part of its requests that a region keeps from now on.
 
     >>> next_share(0.5, RegionLoad(10, 10), RegionLoad(50, 20))
-    0.45
+    0.4
     >>> next_share(0.5, RegionLoad(10, 3), RegionLoad(50, 20))
-    0.55
+    0.6
     """
     if others.slots == 0:
         return 1.0
@@ -70,7 +74,7 @@
 
 
 def _rounded(share: float) -> float:
-    return round(round(share / STEP) * STEP, 4)
+    return round(round(share / ROUNDING) * ROUNDING, 4)
 
 
 class RegionBalance:
@@ -80,35 +84,44 @@
         """Start with no service known."""
         self.version = 0
         self._own_region = own_region
+        self._initial_by_service: dict[str, float] = {}
         self._share_by_service: dict[str, float] = {}
 
     def share(self, service: str) -> float:
         """Return the part of a service's requests that the own region keeps."""
-        return self._share_by_service.get(service, 1.0)
+        decided = self._share_by_service.get(service)
+        return self._initial_by_service.get(service, 1.0) if decided is None else decided
+
+    def decided(self, share_by_service: dict[str, float]) -> None:
+        """Take over what the deciding instance of the region says."""
+        for service, share in share_by_service.items():
+            if self._share_by_service.get(service) != share:
+                self._share_by_service[service] = min(1.0, max(MIN_SHARE, share))
+                self.version += 1
 
-    def update(
+    def start_from(
         self,
         service: str,
         targets: list[RegisteredTarget],
         own_instances: int,
         all_instances: int,
-        now: float,
-    ) -> bool:
-        """Take in the load of a service's targets; tell whether the part changed."""
-        here = [t for t in targets if t.region == self._own_region]
-        elsewhere = [t for t in targets if t.region != self._own_region]
-        own, others = _load_of(here, now), _load_of(elsewhere, now)
-        known = self._share_by_service.get(service)
-        if known is None or own.busy + others.busy <= NO_LOAD * (own.slots + others.slots):
-            all_slots = own.slots + others.slots
-            share = initial_share(own.slots, all_slots, own_instances, all_instances)
-        else:
-            share = next_share(known, own, others)
-        if share == known:
-            return False
-        self._share_by_service[service] = share
-        self.version += 1
-        return True
+    ) -> None:
+        """Take in the room of a region, which counts until something was decided."""
+        here = sum(t.report.slots for t in targets if t.region == self._own_region)
+        slots = sum(t.report.slots for t in targets)
+        initial = initial_share(here, slots, own_instances, all_instances)
+        if self._initial_by_service.get(service) != initial:
+            self._initial_by_service[service] = initial
+            self.version += 1
+
+    def decide(self, service: str, targets: list[RegisteredTarget], now: float) -> float | None:
+        """Return the part for the load of a service's targets, or None to leave it as it is."""
+        own = _load_of([t for t in targets if t.region == self._own_region], now)
+        others = _load_of([t for t in targets if t.region != self._own_region], now)
+        if own.busy + others.busy <= NO_LOAD * (own.slots + others.slots):
+            return None
+        share = next_share(self.share(service), own, others)
+        return None if share == self.share(service) else share
 
 
 def _load_of(targets: list[RegisteredTarget], now: float) -> RegionLoad:
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -28,7 +28,7 @@
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.requests.poison import PoisonRegistry
-from cassiashore._internal.steering.balance import RegionBalance
+from cassiashore._internal.steering.balance import STEP_SECONDS, RegionBalance
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.directory import Entrance, entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
@@ -41,6 +41,7 @@
 from cassiashore.platform.settings import PlatformSettings, read_settings
 from cassiashore.platform.store import PlatformStore
 from cassiashore.platform.wire import (
+    BALANCE_PREFIX,
     CONFIGURATION_KEY,
     CRASH_PREFIX,
     EDGE_HEADERS,
@@ -64,7 +65,6 @@
 STOP_POLL_SECONDS = 0.05
 BOOT_SECONDS = 1.5  # to have a configuration, before callers are told that there is none
 BOOT_POLL_SECONDS = 0.01
-BALANCE_SECONDS = 1.0
 PEER_KEY = b"cassiashore"  # the platform gives no secret; docs/SECURITY.md
 
 
@@ -172,6 +172,7 @@
         mirror.listen(TARGET_PREFIX, self._target_changed)
         mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
         mirror.listen(INSTANCE_PREFIX, self.instances.changed)
+        mirror.listen(BALANCE_PREFIX, self._balance_changed)
         mirror.listen(CRASH_PREFIX, self._crashes_changed)
         mirror.on_doubt = self._doubted
         self.instances.on_change = self._instance_changed
@@ -266,17 +267,25 @@
             await asyncio.sleep(BOOT_POLL_SECONDS)
 
     async def _balance_regions(self) -> None:
+        """Compare the load of the regions; the region's reader of the store decides."""
         while True:
-            await asyncio.sleep(BALANCE_SECONDS)
+            await asyncio.sleep(STEP_SECONDS)
             now = time.monotonic()
             records = self.instances.records()
             here = sum(record.region == self.own.region for record in records)
+            decided: dict[str, float] = {}
             for service, targets in self.registry.targets_by_service.items():
                 usable = [target for target in targets if target.takes_work]
-                if usable and self.balance.update(service, usable, here, len(records), now):
-                    self._decisions.write(
-                        "balance", service=service, own_share=self.balance.share(service)
-                    )
+                if not usable:
+                    continue
+                self.balance.start_from(service, usable, here, len(records))
+                share = self.balance.decide(service, usable, now)
+                if share is not None:
+                    decided[service] = share
+            if decided and self.instances.decides_for_region() and not self._is_stopping:
+                self._decisions.write("balance", own_share=decided, region=self.own.region)
+                key = f"{BALANCE_PREFIX}{self.own.region}/{self.instances.own_incarnation}"
+                self.registration.put(key, msgspec.msgpack.encode(decided))
 
     async def _watch_settings(self) -> None:
         while True:
@@ -386,6 +395,15 @@
             return
         self.registry.apply(decoded.ok_value)
 
+    def _balance_changed(self, rest: str, value: bytes | None) -> None:
+        region = rest.partition("/")[0]
+        if value is None or region != self.own.region:
+            return
+        try:
+            self.balance.decided(msgspec.msgpack.decode(value, type=dict[str, float]))
+        except msgspec.DecodeError as error:
+            logger.warning('balance of region "%s" ignored: %s', region, error)
+
     def _doubted(self, key: str) -> None:
         if key.startswith(TARGET_PREFIX):
             self.registry.doubt(key.removeprefix(TARGET_PREFIX))
--- a/src/cassiashore/platform/wire.py
+++ b/src/cassiashore/platform/wire.py
@@ -25,4 +25,5 @@
 
 # Keys of this system's own; the platform does not look into them.
 INSTANCE_PREFIX = "cassiashore/instances/"
+BALANCE_PREFIX = "cassiashore/balance/"
 CRASH_PREFIX = "cassiashore/crashes/"
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -67,7 +67,7 @@
     targets = with_targets(clock, near=2, far=14)
     balance = RegionBalance("erie")
     placement = place(targets, clock, balance)
-    balance.update("stock", targets.usable("stock"), 3, 10, clock.now)
+    balance.start_from("stock", targets.usable("stock"), 3, 10)
     assert balance.share("stock") == pytest.approx(0.4)
     keys = [str(n) for n in range(4000)]
     regions = Counter(placement.ranked("stock", key, OBJECTIVE, NOWHERE)[0].region for key in keys)
