--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -154,7 +154,7 @@
 def test_the_help_lists_every_command_and_explains_arguments() -> None:
     listed = command("--help")
     text = listed.stdout + listed.stderr
-    for command in ("catalogue", "check", "drain", "entry", "explain", "lookup", "status"):
-        assert f"     {command}\n" in text
+    for name in ("catalogue", "check", "drain", "entry", "explain", "lookup", "status"):
+        assert f"     {name}\n" in text
     explained = command("drain", "--help")
     assert "IP:PORT of any instance" in explained.stdout + explained.stderr
