--- a/src/cassiashore/_internal/ingress/connection.py
+++ b/src/cassiashore/_internal/ingress/connection.py
@@ -473,6 +473,12 @@
             lambda: IngressConnection(self), host, port, backlog=backlog, reuse_address=True
         )
 
+    def address(self) -> str:
+        """Return the address at which the server listens, as ``host:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     def stop_listening(self) -> None:
         """Accept no more connections."""
         if self._server is not None:
--- /dev/null
+++ b/tests/functional/test_platform_node.py
@@ -0,0 +1,213 @@
+"""An instance on the stand-in of the platform: from settings to answers, under failures."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from cassiashore._internal.models.address import Address
+from cassiashore.platform.node import PlatformNode
+from cassiashore.platform.standin import StandinStore
+from tests.lib.ingress import RawClient, request
+from tests.lib.platform_builders import (
+    entry,
+    manifest,
+    running_node,
+    running_store,
+    settings,
+    until,
+)
+from tests.lib.steering_builders import FakeTarget, answer
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(test())  # type: ignore[arg-type]
+
+
+async def whole(_: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
+    writer.write(answer(head))
+
+
+async def ask(address: str | None, data: bytes) -> tuple[int, bytes]:
+    assert address is not None
+    where = Address.parse(address)
+    client = RawClient(*await asyncio.open_connection(where.host, where.port))
+    client.send(data)
+    status, _, body = await client.receive()
+    client.close()
+    return status, body
+
+
+async def ask_front(node: PlatformNode, data: bytes) -> int:
+    return (await ask(node.settings.network.listen.front, data))[0]
+
+
+async def filled_store() -> tuple[StandinStore, str, FakeTarget]:
+    store, address = await running_store()
+    target = await FakeTarget(whole).start()
+    store.put_json("op/config", manifest(1))
+    store.put_json("servers/i-1", entry(target.address))
+    return store, address, target
+
+
+def test_an_instance_serves_registers_and_names_itself(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, target = await filled_store()
+        store.put_json("servers/forged", {"address": 5})
+        async with running_node(tmp_path, settings(address)) as node:
+            assert await ask_front(node, request()) == 200
+            listen = node.settings.network.listen
+            assert (await ask(listen.ready, b"GET /cassiashore/ready HTTP/1.1\r\nHost: x\r\n\r\n"))[
+                0
+            ] == 200
+            await until(lambda: node.instances.records())
+            query = b"GET /cassiashore/resolve?name=shop.example&region=erie&zone=erie-a HTTP/1.1"
+            status, body = await ask(listen.directory, query + b"\r\nHost: x\r\n\r\n")
+            assert status == 200 and str(listen.front).encode() in body
+        assert len(target.heads) == 1
+
+    run(test)
+
+
+def test_changes_of_operators_and_targets_are_followed(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, target = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            store.put_json("op/config", manifest(3, **{"path-prefix": "/b/"}))
+            await until(lambda: node.forwarder.table and node.forwarder.table.version == 3)
+            assert await ask_front(node, request()) == 404
+            store.put_json("op/config", manifest(2))
+            store.put_json("op/config", {"version": "00000009"})
+            store.put_json("op/evacuate/erie-a", {})
+            await until(lambda: node.registry.evacuated == {"erie-a"})
+            assert node.forwarder.table is not None and node.forwarder.table.version == 3
+            assert await ask_front(node, request("/b/1")) == 503
+            store.delete("op/evacuate/erie-a")
+            await until(lambda: not node.registry.evacuated)
+            assert await ask_front(node, request("/b/1")) == 200
+            store.put_json("servers/i-1", entry(target.address, state="draining", seq=2))
+            await until(lambda: not node.registry.usable("stock"))
+            assert await ask_front(node, request("/b/1")) == 503
+
+    run(test)
+
+
+def test_a_lost_history_is_made_up_for_with_a_copy(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            await until(lambda: node.mirror.revision == store.revision)
+            store.faults.is_down = True
+            await until(lambda: node.follower.is_failing)
+            store.put_json("op/config", manifest(5))
+            store.drop_history()
+            store.faults.is_down = False
+            await until(lambda: node.forwarder.table and node.forwarder.table.version == 5)
+
+    run(test)
+
+
+def test_entries_that_lapse_while_the_store_is_away_stay_in_use(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, target = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            store.faults.is_down = True
+            await until(lambda: node.follower.is_failing)
+            await asyncio.sleep(0.7)
+            store.delete("servers/i-1")
+            store.faults.is_down = False
+            await until(lambda: not node.follower.is_failing)
+            assert await ask_front(node, request()) == 200
+            store.put_json("servers/i-1", entry(target.address, seq=2))
+            await until(lambda: not node.registry.target_by_id["i-1"].is_doubtful)
+            assert await ask_front(node, request()) == 200
+
+    run(test)
+
+
+def test_a_registration_is_written_again_after_its_lease_was_lost(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            key = f"cassiashore/instances/{node.instances.own_incarnation}"
+            await until(lambda: key in node.mirror.item_by_key)
+            store.expire_leases(all_of_them=True)
+            assert key not in store.item_by_key
+            await until(lambda: key in store.item_by_key)
+
+    run(test)
+
+
+def test_a_write_whose_answer_was_lost_is_recognised(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        store.faults.loses_answers_of = "kv-txn"
+        async with running_node(tmp_path, settings(address), ready=False) as node:
+            key = f"cassiashore/instances/{node.instances.own_incarnation}"
+            await until(lambda: key in store.item_by_key)
+            revision = store.item_by_key[key].revision
+            store.faults.loses_answers_of = ""
+            await until(lambda: node.registration.is_registered)
+            assert store.item_by_key[key].revision == revision
+
+    run(test)
+
+
+def test_an_instance_without_the_store_starts_from_another_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first_settings = settings(address)
+        async with running_node(tmp_path, first_settings):
+            store.faults.is_down = True
+            seeds = [first_settings["network"]["listen"]["control"]]
+            document = settings(address, "front-2", seeds)
+            async with running_node(tmp_path, document, ready=False) as second:
+                await until(second.is_ready)
+                assert await ask_front(second, request()) == 200
+
+    run(test)
+
+
+def test_a_planned_stop_cuts_nothing_off(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address = await running_store()
+        started, may_end = asyncio.Event(), asyncio.Event()
+
+        async def slow(_: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
+            started.set()
+            await may_end.wait()
+            writer.write(answer(head))
+
+        target = await FakeTarget(slow).start()
+        store.put_json("op/config", manifest(1))
+        store.put_json("servers/i-1", entry(target.address))
+        async with running_node(tmp_path, settings(address)) as node:
+            key = f"cassiashore/instances/{node.instances.own_incarnation}"
+            asking = asyncio.create_task(ask_front(node, request()))
+            await started.wait()
+            stopping = asyncio.create_task(node.stop())
+            await until(lambda: key not in store.item_by_key)
+            assert not node.is_ready() and not stopping.done()
+            may_end.set()
+            assert await asking == 200
+            await stopping
+
+    run(test)
+
+
+def test_settings_change_with_and_without_a_fault(tmp_path: Path) -> None:
+    async def test() -> None:
+        _, address, _ = await filled_store()
+        document = settings(address)
+        async with running_node(tmp_path, document) as node:
+            path = Path(node._path)
+            text = path.read_text()
+            path.write_text("{")
+            node.reload(signalled=True)
+            assert node.settings.network.zones == {"erie-a": "erie", "huron-a": "huron"}
+            path.write_text(text.replace('"huron-a": "huron"', '"huron-a": "huron", "new": "erie"'))
+            node.reload(signalled=True)
+            assert node.registry.region_by_failure_domain["new"] == "erie"
+
+    run(test)
--- /dev/null
+++ b/tests/lib/platform_builders.py
@@ -0,0 +1,125 @@
+"""Builders of test data in the platform's words: settings, manifests, entries; a running node."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from cassiashore._internal.observability.logs import BufferHandler
+from cassiashore.platform.node import PlatformNode
+from cassiashore.platform.settings import read_settings
+from cassiashore.platform.standin import StandinStore
+from tests.lib.ingress import SOON
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a manifest with one route; ``changes`` replace fields of the route."""
+    route = {
+        "host": "shop.example",
+        "path-prefix": "/a/",
+        "kind": "safe",
+        "timeout-s": 2.5,
+        "target-latency-s": 0.4,
+        "priority": 1,
+        "service": "stock",
+        "max-attempts": 2,
+        "session-affinity": True,
+        "home-regions": [],
+    }
+    service = {
+        "health-path": "/health",
+        "max-connections": 100,
+        "cold-start-s": 3.0,
+        "cold-per-s": 14.0,
+    }
+    return {
+        "version": f"{version:08x}",
+        "routes": {"r-1": {**route, **changes}},
+        "services": {"stock": service, "orders": service},
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1 << 20,
+            "header-timeout-s": 3,
+            "idle-timeout-s": 15,
+        },
+    }
+
+
+def entry(where: str, /, **changes: Any) -> dict[str, Any]:
+    """Return the entry of a target; ``changes`` go to where the field stands."""
+    info = {"service": "stock", "version": "v1", "zone": "erie-a", "slots": 6}
+    status = {"state": "ready", "seq": 1, "cold-left-s": 0}
+    top: dict[str, Any] = {"address": where, "born": 1_700_000_000_000}
+    for name, value in changes.items():
+        place = info if name in info else status if name in status else top
+        place[name] = value
+    return {**top, "info": info, "status": status}
+
+
+def settings(store: str, name: str = "front-1", seeds: list[str] | None = None) -> dict[str, Any]:
+    ports = {
+        face: f"127.0.0.1:{free_port()}" for face in ("front", "ready", "control", "directory")
+    }
+    return {
+        "self": {"node-name": name, "zone": "erie-a", "region": "erie", "serves": ["front"]},
+        "network": {
+            "listen": ports,
+            "seeds": seeds if seeds is not None else [ports["control"]],
+            "zones": {"erie-a": "erie", "huron-a": "huron"},
+        },
+        "platform": {"heartbeat-s": 1.5, "platform": {"address": store, "ttl-min-s": 1}},
+        "terms": {"bounds": {"grace-s": 2, "ttl_max_s": 5}},
+        "unknown": {"ignored": True},
+    }
+
+
+class _QuietLogs:
+    """Logs that go nowhere."""
+
+    handler = BufferHandler(1)
+
+
+@asynccontextmanager
+async def running_node(
+    folder: Path, document: dict[str, Any], *, ready: bool = True
+) -> AsyncIterator[PlatformNode]:
+    path = folder / f"{document['self']['node-name']}.json"
+    path.write_text(json.dumps(document))
+    logs: Any = _QuietLogs()
+    node = PlatformNode(read_settings(str(path)), str(path), None, logs)
+    await node.start()
+    try:
+        if ready:
+            await until(lambda: node.is_ready() and node.registration.is_registered)
+        yield node
+    finally:
+        if not node._is_stopping:
+            for task in node._tasks:
+                task.cancel()
+            await asyncio.gather(*node._tasks, return_exceptions=True)
+            node.relay.close()
+        node.front.stop_listening()
+        node.front.abort_all()
+
+
+async def until(condition: Any) -> None:
+    """Wait until a condition holds, for at most ``SOON``."""
+    async with asyncio.timeout(SOON):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def running_store() -> tuple[StandinStore, str]:
+    store = StandinStore()
+    return store, await store.listen()
