Let a refused connection to a peer cost no retry

Cause of the known red test (a trace of six starts; one failed with not-run, peer-unreachable, 49 ms after the kill): all targets of the service were held by the member that was killed. Each of 8 callers tried it, was refused, and took from the budget of retries, which allows 10 at once. Change: where nothing left this process, another place is tried without cost, as the module says. Ruled out: a lost answer of the store; slots (the survivor answers when it holds a target).

--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -49,6 +49,7 @@
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED, Reason.PEER_FAILED})
 _FINAL_REASONS = frozenset({Reason.DEADLINE, Reason.POISONOUS})
 _FREE_TO_RETRY = frozenset({Reason.NO_CAPACITY, Reason.SHIFT_CAP})
+_NOTHING_SENT = frozenset({Reason.PEER_UNREACHABLE, Reason.TARGET_UNREACHABLE})
 
 
 _HOP_BY_PLACE = {PlaceKind.PEER: HopKind.EXECUTE, PlaceKind.REMOTE: HopKind.PLACE}
@@ -243,6 +244,8 @@
             return False
         if not exchange.may_resend:
             return False
+        if failure.outcome is Outcome.NOT_RUN and failure.reason in _NOTHING_SENT:
+            return True
         costs_nothing = place.kind is PlaceKind.LOCAL or progress.reach is Reach.DOMAIN
         if costs_nothing and failure.reason in _FREE_TO_RETRY:
             return True
