Keep connections to targets as long as they promise, and less long where they forget them

Instances that start read the whole store themselves after 0.3 s although others were about to have a copy. Change: 0.8 of the promised time; half of the idle time after which a connection was lost before any of its answer came; 0.8 s for a copy from another instance, dialled every 0.1 s. An invariant stops a second send of a request that must not run twice.

--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -25,9 +25,10 @@
 WHOLE_ANSWER_BYTES = 256 * 1024  # answers up to this are read whole before any of it is passed on
 MIN_CONNECT_SECONDS = 0.25  # the first retransmission of an opening packet comes after 1 s
 ROUND_TRIPS_TO_CONNECT = 4  # a target with a long accept queue answers late
-SHARE_OF_KEEP_ALIVE = 0.5  # of the idle time that a target promises; its clock may run ahead
-FRESH_IDLE_SECONDS = 1.5  # for what must not be repeated: an idle connection may be half closed
+SHARE_OF_KEEP_ALIVE = 0.8  # of the idle time that a target promises; the rest is travel
+FRESH_IDLE_SECONDS = 4.0  # for what must not be repeated: an idle connection may be half closed
 MIN_IDLE_SECONDS = 0.5
+SHARE_OF_FORGOTTEN = 0.5  # of the idle time after which a target had forgotten a connection
 _PASSED_STATUSES_OF_REFUSAL = frozenset({408, 421, 429, 503})
 
 
@@ -106,6 +107,8 @@
         done = True
         return answer
     except (ConnectionLostError, BodyError) as error:
+        if connection is not None:
+            _note_forgotten(pool, connection, started)
         return Err(_lost(connection, str(error)))
     finally:
         if connection is not None:
@@ -227,6 +230,13 @@
             pool.idle_seconds = max(MIN_IDLE_SECONDS, int(number) * SHARE_OF_KEEP_ALIVE)
 
 
+def _note_forgotten(pool: ConnectionPool, connection: HttpConnection, started: float) -> None:
+    """Keep connections idle for less long after one was lost before any of an answer came."""
+    if connection.exchanges > 1 and not connection.has_head:
+        idle = started - connection.idle_since
+        pool.idle_seconds = max(MIN_IDLE_SECONDS, min(pool.idle_seconds, idle * SHARE_OF_FORGOTTEN))
+
+
 def _hand_back(pool: ConnectionPool, connection: HttpConnection, send: Send, *, done: bool) -> None:
     """Return a connection to the pool unless its exchange is open or its body not all sent."""
     if done and not connection.fully_read and connection.usable and connection.has_head:
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -16,7 +16,7 @@
 
 from result import Err, Ok, Result
 
-from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.exceptions import ConnectionLostError, InvariantError
 from cassiashore._internal.ingress.attempt import (
     Proof,
     Send,
@@ -55,7 +55,11 @@
 
 @dataclass(slots=True)
 class Call:
-    """One request on its way. ``deadline`` is in seconds of the monotonic clock."""
+    """One request on its way.
+
+    ``deadline`` is when the caller gets a final answer, in seconds of the monotonic clock.
+    ``may_have_run`` counts sends of which it is not certain that they did not run.
+    """
 
     request: IngressRequest
     route: Route
@@ -65,6 +69,7 @@
     version: int
     fingerprint: int = 0
     sends: int = 0
+    may_have_run: int = 0
     unreachable: int = 0
     tried: set[str] = field(default_factory=set)
     steps: list[list[object]] = field(default_factory=list)
@@ -203,17 +208,17 @@
         )
 
     def _call(self, request: IngressRequest, route: Route, version: int, send: Send) -> Call:
-        most = route.timeout
+        longest = route.timeout
         given = request.header(self._edge.deadline_ms)
         if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
-            most = min(most, int(given) / 1000)
+            longest = int(given) / 1000
         key = _cookie(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
         call = Call(
             request,
             route,
             self._split.choose(route),
             key or send.request_id.decode("latin-1"),
-            request.received_at + most,
+            request.received_at + min(longest, route.timeout),
             version,
         )
         affinity = key or ""
@@ -239,9 +244,11 @@
         may_hedge = send.is_idempotent and not send.is_streamed
         try:
             while running:
-                patience = self._patience(call) if may_hedge and len(running) == 1 else None
+                hedges = may_hedge and len(running) == 1
                 done, running = await asyncio.wait(
-                    running, timeout=patience, return_when=asyncio.FIRST_COMPLETED
+                    running,
+                    timeout=self._patience(call) if hedges else None,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
                 if not done:
                     may_hedge = False
@@ -249,6 +256,8 @@
                     continue
                 for task in done:
                     outcome = task.result()
+                    if isinstance(outcome, Err) and outcome.err_value.outcome is Outcome.NOT_RUN:
+                        call.may_have_run -= 1
                     if isinstance(outcome, Ok):
                         delivery = outcome.ok_value
                         if delivery.answer.head.status < SERVER_ERROR or not send.is_idempotent:
@@ -284,7 +293,10 @@
             failure = Failure.not_run(Reason.REPEAT_BUDGET, "the budget of repeats is used up")
             call.failed(failure)
             return Err(failure)
+        if call.may_have_run > 0 and not send.is_idempotent:
+            raise InvariantError(f"request {call.key} of route {call.route.name} may have run")
         call.sends += 1
+        call.may_have_run += 1
         call.tried.add(chosen.ok_value.target.target_id)
         step = call.steps[-1]
         return Ok(asyncio.create_task(self._send(call, send, chosen.ok_value, step)))
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -26,7 +26,7 @@
 MAX_RETRY_SECONDS = 0.25
 RELAY_SILENCE_SECONDS = 1.2
 IDLE_CHECK_SECONDS = 0.1
-BOOT_PATIENCE_SECONDS = 0.3  # for a copy from another instance, which costs the store nothing
+BOOT_PATIENCE_SECONDS = 0.8  # for a copy from another instance, which costs the store nothing
 LEAST_READERS = 2
 OUTAGE_SECONDS = 0.6  # a failed call shorter ago than this is no outage yet
 
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -29,6 +29,8 @@
 FRESH_SECONDS = 1.8  # the longest watch with its call, and a beat; older knowledge may miss changes
 STALE_MS = 60_000  # told while the store cannot be followed
 REDIAL_SECONDS = 0.5
+BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
+BOOT_POLL_SECONDS = 0.05
 MAX_SOURCES = 2
 BOOT_SOURCES = 3
 LINK_SILENCE_SECONDS = 2.0
@@ -164,7 +166,8 @@
                 link = await links.dial(address, self._own, self._key)
             except _LINK_ERRORS as error:
                 logger.info("subscribing to %s failed: %s", address, error)
-                await asyncio.sleep(REDIAL_SECONDS)
+                filled = self._mirror.is_filled
+                await asyncio.sleep(REDIAL_SECONDS if filled else BOOT_REDIAL_SECONDS)
                 continue
             logger.info("subscribed to %s at %s", link.peer.instance, address)
             try:
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+import uvloop
 
 from cassiashore._internal.steering.routes import IngressLimits, RequestKind
 from tests.lib.ingress import Ingress, request, start_ingress
@@ -15,7 +16,7 @@
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
-    asyncio.run(test())  # type: ignore[arg-type]
+    uvloop.run(test())  # type: ignore[arg-type]
 
 
 async def whole(_: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
@@ -417,6 +418,30 @@
     run(test)
 
 
+def test_a_request_that_must_not_run_twice_is_not_sent_again_at_its_timeout() -> None:
+    """The wait may end a little before the timeout by the clock, with no answer."""
+
+    async def test() -> None:
+        async def hangs(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            await reader.read()
+
+        routes = [route(kind=NON_IDEMPOTENT, timeout=0.0301 + n / 9973) for n in range(20)]
+        targets: list[FakeTarget] = []
+        for number, one in enumerate(routes):
+            ingress = await start_ingress(table(one))
+            targets.extend(await with_targets(ingress, hangs, hangs))
+            patient = request(
+                request_id=f"id-{number}", extra="X-Cassiashore-Deadline-Ms: 5000\r\n"
+            )
+            assert (await ingress.ask(patient))[0] == 504
+        await asyncio.sleep(0.05)
+        assert sends(targets) == len(routes)
+
+    run(test)
+
+
 def test_a_silent_target_is_not_broken_off_while_another_is_asked() -> None:
     async def test() -> None:
         second_asked = asyncio.Event()
@@ -497,3 +522,25 @@
         assert await client.rest() == b""
 
     run(test)
+
+
+def test_connections_that_a_target_forgets_are_kept_idle_for_less_long() -> None:
+    async def test() -> None:
+        async def forgets(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            if len(target_list[0].heads) == 2:
+                writer.transport.abort()
+            else:
+                writer.write(answer(head))
+
+        target_list: list[FakeTarget] = []
+        ingress = await start_ingress(table(route(kind=NON_IDEMPOTENT)))
+        target_list.extend(await with_targets(ingress, forgets))
+        pool = ingress.registry.target_by_id["t-0"].pool
+        before = pool.idle_seconds
+        assert (await ingress.ask(request()))[0] == 200
+        assert (await ingress.ask(request(request_id="id-2")))[0] == 502
+        assert pool.idle_seconds < before
+
+    run(test)
