--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import msgspec
-from result import Err
 
 from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
 from cassiashore._internal.ingress.forwarder import Forwarder
@@ -33,21 +32,18 @@
 from cassiashore._internal.steering.directory import Entrance, entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.placement import Placement
-from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import IngressLimits
-from cassiashore.platform.decoding import ConfigurationDecoder, decode_target
+from cassiashore.platform.changes import StoreChanges
 from cassiashore.platform.faces import Faces
 from cassiashore.platform.settings import PlatformSettings, read_settings
 from cassiashore.platform.store import PlatformStore
 from cassiashore.platform.wire import (
     BALANCE_PREFIX,
-    CONFIGURATION_KEY,
     CRASH_PREFIX,
     EDGE_HEADERS,
-    EVACUATION_PREFIX,
     INSTANCE_PREFIX,
-    TARGET_PREFIX,
 )
 
 logger = logging.getLogger(__name__)
@@ -66,6 +62,7 @@
 BOOT_SECONDS = 1.5  # to have a configuration, before callers are told that there is none
 BOOT_POLL_SECONDS = 0.01
 PEER_KEY = b"cassiashore"  # the platform gives no secret; docs/SECURITY.md
+DEFAULT_LIMITS = IngressLimits()  # until a configuration is in force
 
 
 class PlatformNode:
@@ -84,7 +81,6 @@
         self._logs = logs
         self._content_seen = settings
         self._is_stopping = False
-        self._configurations = ConfigurationDecoder()
         self._tasks: list[asyncio.Task[None]] = []
         self._rng = random.Random()
         identity = Identity(
@@ -92,7 +88,7 @@
             new_incarnation(),
             machine.zone,
             listen.front or "",
-            listen.control or f"{_host_of(settings)}:{_PEER_PORT_OFFSET}",
+            listen.control or f"{_host_of(settings)}:{settings.network.internal_ports[0]}",
         )
         capacity = machine.limits.cpu_share * machine.limits.cores
         self.own = InstanceRecord(identity, machine.region, capacity)
@@ -168,17 +164,17 @@
         self._metrics_face = IngressServer(self._serve_metrics, IngressLimits)
 
     def _connect(self) -> None:
-        mirror = self.mirror
-        mirror.listen(CONFIGURATION_KEY, self._configuration_changed)
-        mirror.listen(TARGET_PREFIX, self._target_changed)
-        mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
-        mirror.listen(INSTANCE_PREFIX, self.instances.changed)
-        mirror.listen(BALANCE_PREFIX, self._balance_changed)
-        mirror.listen(CRASH_PREFIX, self._crashes_changed)
-        mirror.on_doubt = self._doubted
-        self.instances.on_change = self._instance_changed
-        self.registry.on_change = self._registry_changed
-        self.registry.cold_seconds_of = self._cold_seconds_of
+        self._changes = StoreChanges(
+            self.mirror,
+            self.instances,
+            self.registry,
+            self.forwarder,
+            self.placement,
+            self.cold,
+            self.poison,
+            self.balance,
+            self._decisions,
+        )
         self.poison.on_crash = self._publish_crashes
 
     # Life cycle.
@@ -350,7 +346,7 @@
 
     def _limits(self) -> IngressLimits:
         table = self.forwarder.table
-        return table.limits if table is not None else _DEFAULT_LIMITS
+        return table.limits if table is not None else DEFAULT_LIMITS
 
     def _make_pool(self, address: Address) -> ConnectionPool:
         return ConnectionPool(address, CONNECTIONS_PER_TARGET)
@@ -365,108 +361,11 @@
             time.monotonic,
         )
 
-    # Changes in the store.
-
-    def _configuration_changed(self, rest: str, value: bytes | None) -> None:
-        if rest or value is None:
-            logger.warning(
-                "key %s%s is not a configuration or was removed", CONFIGURATION_KEY, rest
-            )
-            return
-        decoded = self._configurations.decode(value)
-        if isinstance(decoded, Err):
-            logger.error("configuration not applied: %s", decoded.err_value)
-            return
-        table = decoded.ok_value
-        current = self.forwarder.table
-        if current is not None and table.version <= current.version:
-            logger.warning(
-                "configuration %08x ignored: %08x is in force", table.version, current.version
-            )
-            return
-        self.forwarder.apply(table)
-        self._decisions.write("configuration", version=table.version)
-
-    def _target_changed(self, target_id: str, value: bytes | None) -> None:
-        if value is None:
-            self.registry.remove(target_id)
-            return
-        decoded = decode_target(target_id, value, self.registry.region_by_failure_domain)
-        if isinstance(decoded, Err):
-            logger.warning('entry of target "%s" ignored: %s', target_id, decoded.err_value)
-            return
-        self.registry.apply(decoded.ok_value)
-
-    def _balance_changed(self, rest: str, value: bytes | None) -> None:
-        region = rest.partition("/")[0]
-        if value is None or region != self.own.region:
-            return
-        try:
-            self.balance.decided(msgspec.msgpack.decode(value, type=dict[str, float]))
-        except msgspec.DecodeError as error:
-            logger.warning('balance of region "%s" ignored: %s', region, error)
-
-    def _doubted(self, key: str) -> None:
-        if key.startswith(TARGET_PREFIX):
-            self.registry.doubt(key.removeprefix(TARGET_PREFIX))
-
-    def _evacuation_changed(self, failure_domain: str, value: bytes | None) -> None:
-        self._decisions.write("evacuation", failure_domain=failure_domain, begun=value is not None)
-        self.registry.set_evacuated(failure_domain, value is not None)
-
-    def _crashes_changed(self, incarnation: str, value: bytes | None) -> None:
-        if incarnation == self.instances.own_incarnation:
-            return
-        self.poison.forget_origin(incarnation)
-        if value is None:
-            return
-        try:
-            counts = msgspec.msgpack.decode(value, type=dict[int, int])
-        except msgspec.DecodeError as error:
-            logger.warning('crash report of "%s" ignored: %s', incarnation, error)
-            return
-        self.poison.merge_report(incarnation, counts)
-
     def _publish_crashes(self) -> None:
         counts = self.poison.own_counts()
         key = CRASH_PREFIX + self.instances.own_incarnation
         self.registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
 
-    def _instance_changed(self, what: str, incarnation: str) -> None:
-        self._decisions.write(
-            "instance",
-            what=what,
-            incarnation=incarnation,
-            revision=self.mirror.revision,
-            known=self.instances.count(),
-        )
-
-    def _registry_changed(self, what: str, target: RegisteredTarget) -> None:
-        if target.is_gone:
-            self.cold.forget(target.target_id)
-            self.placement.forget(target.target_id)
-        report = target.report
-        self._decisions.write(
-            "target",
-            what=what,
-            target=report.target_id,
-            service=report.service,
-            failure_domain=report.failure_domain,
-            run=report.started_ms,
-            sequence=report.sequence,
-            cold_s=round(max(0.0, target.cold_until - time.monotonic()), 2),
-            revision=self.mirror.revision,
-        )
-
-    def _cold_seconds_of(self, service: str) -> float:
-        table = self.forwarder.table
-        rule = table.rule_by_service.get(service) if table is not None else None
-        return rule.cold_seconds if rule is not None else 0.0
-
-
-_DEFAULT_LIMITS = IngressLimits()
-_PEER_PORT_OFFSET = 7620
-
 
 async def _listen(face: IngressServer, address: str | None) -> None:
     if address is not None:
--- a/src/cassiashore/platform/settings.py
+++ b/src/cassiashore/platform/settings.py
@@ -46,11 +46,15 @@
 
 
 class Network(_Table, frozen=True):
-    """Addresses of this process and of others; ``zones`` maps each zone to its region."""
+    """Addresses of this process and of others; ``zones`` maps each zone to its region.
+
+    ``internal_ports`` are the first and last port that are free for streams between instances.
+    """
 
     listen: Listen
     zones: dict[str, str]
     seeds: list[str] = []
+    internal_ports: tuple[int, int] = (7620, 7635)
 
 
 class StoreAccess(_Table, frozen=True):
