--- a/src/cassiashore/_internal/cli/entry.py
+++ b/src/cassiashore/_internal/cli/entry.py
@@ -41,9 +41,9 @@
     node = EntryNode(settings, logs)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stop_requested.set)
+        loop.add_signal_handler(number, node.tasks.stop_requested.set)
     await node.start()
-    await node.stop_requested.wait()
-    if node.is_broken:
+    await node.tasks.stop_requested.wait()
+    if node.tasks.is_broken:
         raise SystemExit(EXIT_BROKEN)
     await node.stop()
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -6,7 +6,6 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine
 from typing import Any
 
 from prometheus_client import CollectorRegistry
@@ -48,6 +47,7 @@
 from cassiashore._internal.routing.policies import policy_by_name
 from cassiashore._internal.settings import EntrySettings, read_key
 from cassiashore._internal.store.client import StoreClient, StoreFault
+from cassiashore._internal.supervision import TaskSet
 
 logger = logging.getLogger(__name__)
 
@@ -80,10 +80,8 @@
         self._decisions = DecisionLog()
         self._loads: list[ServiceLoad] = []
         self._loads_at = float("-inf")
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskSet()
         self._is_stopping = False
-        self.is_broken = False
-        self.stop_requested = asyncio.Event()
         self._build_state(settings)
         self._build_cluster(settings, peer_key)
         self._build_data_path(settings, peer_key, operator_key)
@@ -201,7 +199,7 @@
             self.cluster.run_registration(),
             self._prober.run(),
         ):
-            self._spawn(work)
+            self.tasks.spawn(work)
         logger.info("instance %s (%s) started", self.own.instance, self.own.incarnation)
 
     async def stop(self, seconds: float = DEFAULT_STOP_SECONDS) -> None:
@@ -225,9 +223,8 @@
             logger.warning("stopping cuts off %d requests", self.proxy.in_flight)
         closing.cancel()
         self.cluster.say_goodbye()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(closing, *self._tasks, return_exceptions=True)
+        await self.tasks.cancel()
+        await asyncio.gather(closing, return_exceptions=True)
         self._dns.stop()
         await self.cluster.mesh.close()
         self.runner.close()
@@ -246,18 +243,6 @@
         alive = [m for m in self.membership.alive() if m.ready and not m.leaving]
         return bool(alive) and bool(self.rights.held())
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._task_ended)
-        self._tasks.append(task)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        """Ask for the end of the process when a task fails: that is a broken invariant."""
-        if not task.cancelled() and task.exception() is not None:
-            logger.critical("a task failed", exc_info=task.exception())
-            self.is_broken = True
-            self.stop_requested.set()
-
     # What others ask of the instance.
 
     def key_slot(self) -> int:
--- /dev/null
+++ b/src/cassiashore/_internal/supervision.py
@@ -0,0 +1,39 @@
+"""The long-running tasks of a process: when one fails, the process has to end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+logger = logging.getLogger(__name__)
+
+
+class TaskSet:
+    """Runs tasks that end only when they are cancelled."""
+
+    def __init__(self) -> None:
+        """Start with no task."""
+        self.is_broken = False
+        self.stop_requested = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Ask for the end of the process when a task fails: that is a broken invariant."""
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("a task failed", exc_info=task.exception())
+            self.is_broken = True
+            self.stop_requested.set()
--- a/src/cassiashore/platform/__main__.py
+++ b/src/cassiashore/platform/__main__.py
@@ -45,11 +45,11 @@
     node = PlatformNode(settings, path, metrics_port, logs)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stop_requested.set)
+        loop.add_signal_handler(number, node.tasks.stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(signalled=True))
     await node.start()
-    await node.stop_requested.wait()
-    if node.is_broken:
+    await node.tasks.stop_requested.wait()
+    if node.tasks.is_broken:
         raise SystemExit(EXIT_BROKEN)
     await node.stop()
 
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -7,8 +7,6 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 import msgspec
 
@@ -35,6 +33,7 @@
 from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import IngressLimits
+from cassiashore._internal.supervision import TaskSet
 from cassiashore.platform.changes import StoreChanges
 from cassiashore.platform.faces import Faces
 from cassiashore.platform.settings import PlatformSettings, read_settings
@@ -74,14 +73,12 @@
         """Build and connect all parts."""
         machine, listen = settings.machine, settings.network.listen
         self.settings = settings
-        self.stop_requested = asyncio.Event()
-        self.is_broken = False
         self._path = path
         self._metrics_port = metrics_port
         self._logs = logs
         self._content_seen = settings
         self._is_stopping = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskSet()
         self._rng = random.Random()
         identity = Identity(
             machine.node_name,
@@ -197,7 +194,7 @@
             self._maintain(),
             self._balance_regions(),
         ):
-            self._spawn(work)
+            self.tasks.spawn(work)
         await self._wait_for_configuration()
         await _listen(self.front, listen.front)
         gc.collect()
@@ -231,25 +228,11 @@
         if self.front.in_flight:
             logger.warning("stopping cuts off %d requests", self.front.in_flight)
         await asyncio.sleep(STOP_POLL_SECONDS)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.tasks.cancel()
         self.relay.close()
         self.store.close()
         logger.info("instance %s stopped", self.own.identity.instance)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._task_ended)
-        self._tasks.append(task)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        """Ask for the end of the process when a task fails: that is a broken invariant."""
-        if not task.cancelled() and task.exception() is not None:
-            logger.critical("a task failed", exc_info=task.exception())
-            self.is_broken = True
-            self.stop_requested.set()
-
     async def _register_when_ready(self) -> None:
         while self.forwarder.table is None:
             await asyncio.sleep(STOP_POLL_SECONDS)
--- a/tests/lib/platform_builders.py
+++ b/tests/lib/platform_builders.py
@@ -105,9 +105,7 @@
         yield node
     finally:
         if not node._is_stopping:
-            for task in node._tasks:
-                task.cancel()
-            await asyncio.gather(*node._tasks, return_exceptions=True)
+            await node.tasks.cancel()
             node.relay.close()
         node.front.stop_listening()
         node.front.abort_all()
