--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -48,6 +48,12 @@
     peer.mirror.confirmed(time.monotonic())
 
 
+async def keep_current(peer: Peer) -> None:
+    while True:
+        current(peer)
+        await asyncio.sleep(0.05)
+
+
 def test_a_follower_gets_a_copy_and_then_each_change() -> None:
     async def test() -> None:
         reader = await Peer("reader", []).start()
@@ -68,7 +74,7 @@
     async def test() -> None:
         reader = await Peer("reader", []).start()
         reader.mirror.replace(Snapshot(5, [Change("a", 3, b"1")]))
-        current(reader)
+        refreshing = asyncio.create_task(keep_current(reader))
         follower = await Peer("follower", [reader.address]).start()
         follower.mirror.replace(Snapshot(4, []))
         follower.instances.changed(reader.record.identity.incarnation, encode_record(reader.record))
@@ -76,10 +82,10 @@
         reader.relay.is_failing = lambda: True
         await until(lambda: follower.relay.heard_at == float("-inf"))
         reader.relay.is_failing = lambda: False
-        current(reader)
         await until(lambda: follower.relay.heard_at > 0)
         reader.stop()
         await until(lambda: follower.relay.heard_at == float("-inf"))
+        refreshing.cancel()
         follower.stop()
 
     run(test)
