--- a/tests/unit/test_specifications.py
+++ b/tests/unit/test_specifications.py
@@ -14,14 +14,17 @@
 from cassiashore._internal.catalogue.keeper import CatalogueKeeper
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.requests.ledger import KeyLedger, Known, Started
-from spec import activation, claims, rights, tickets
-from tests.lib import builders
+from cassiashore._internal.steering.registry import TargetRegistry
+from spec import activation, claims, mirror, registrations, rights, tickets
+from tests.lib import builders, steering_builders
 
 REFUTATION_STATES = 30_000
 SMALL_MODELS = [
     (tickets, tickets.TicketVariant),
     (claims, claims.ClaimVariant),
     (activation, activation.ActivationVariant),
+    (mirror, mirror.MirrorVariant),
+    (registrations, registrations.RegistryVariant),
 ]
 RIGHTS_REFUTED_BY = {
     "agree_while_holding": "two instances, crashes and pauses",
@@ -141,3 +144,30 @@
                 bundle = make_bundle(builders.spec(), int(version), change, change)
                 assert keepers[index].activate(bundle).ok_value is True
         assert tuple(keeper.version for keeper in keepers) == state[3]
+
+
+def test_a_trace_of_the_registry_model_is_followed_by_the_real_one() -> None:
+    model = registrations.RegistryModel(registrations.RegistryVariant())
+    rng = random.Random(20)
+    for _ in range(200):
+        state, real = registrations.INITIAL, steering_builders.registry()
+        for _ in range(25):
+            label, after = rng.choice(model.transitions(tuple(state)))
+            if label.startswith("report"):
+                run, sequence = after.known_run, after.known_sequence
+                draining = sequence == registrations.REPORTS
+                report = steering_builders.report(started=run, sequence=sequence, draining=draining)
+                assert real.apply(report)
+                _assert_older_reports_are_refused(real, run, sequence)
+            elif label.endswith("removed"):
+                real.remove("t-1")
+            state = after
+            known = real.target_by_id.get("t-1")
+            assert (known is not None) == state.is_listed
+            if known is not None:
+                assert known.report.order == (state.known_run, state.known_sequence)
+
+
+def _assert_older_reports_are_refused(real: TargetRegistry, run: int, sequence: int) -> None:
+    for older in [(run, sequence - 1), (run - 1, registrations.REPORTS)]:
+        assert not real.apply(steering_builders.report(started=older[0], sequence=older[1]))
