--- a/src/cassiashore/_internal/catalogue/bundle.py
+++ b/src/cassiashore/_internal/catalogue/bundle.py
@@ -10,11 +10,11 @@
 import json
 from dataclasses import dataclass
 
-import msgspec
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
 from cassiashore._internal.catalogue.index import Catalogue, build_catalogue
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
 from cassiashore._internal.validation import fault_lines
 
@@ -24,35 +24,6 @@
 MAX_PART_BYTES = 1_000_000
 
 
-class Change(msgspec.Struct, frozen=True):
-    """One accepted change; ``at`` is in seconds since the epoch, by the publisher's clock."""
-
-    version: int
-    change_id: str
-    author: str
-    at: float
-
-
-class Manifest(msgspec.Struct, frozen=True):
-    """Names the parts of one catalogue version and the change that made it.
-
-    ``changes`` lists the latest changes, newest first.
-    """
-
-    version: int
-    change_id: str
-    author: str
-    parts: dict[str, str]
-    changes: list[Change] = []
-
-
-class Bundle(msgspec.Struct, frozen=True):
-    """A manifest with the bytes of its parts, by digest."""
-
-    manifest: Manifest
-    part_by_digest: dict[str, bytes]
-
-
 @dataclass(frozen=True, slots=True)
 class BundleFault:
     """A bundle that must not be applied, and why."""
--- a/src/cassiashore/_internal/catalogue/follower.py
+++ b/src/cassiashore/_internal/catalogue/follower.py
@@ -14,13 +14,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cassiashore._internal.catalogue.bundle import (
-    MANIFEST_KEY,
-    PART_KEY_PREFIX,
-    Bundle,
-    Manifest,
-)
+from cassiashore._internal.catalogue.bundle import MANIFEST_KEY, PART_KEY_PREFIX
 from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.store.client import Entry, StoreClient, StoreFault
 
 logger = logging.getLogger(__name__)
--- a/src/cassiashore/_internal/catalogue/keeper.py
+++ b/src/cassiashore/_internal/catalogue/keeper.py
@@ -6,8 +6,9 @@
 
 from result import Err, Ok, Result
 
-from cassiashore._internal.catalogue.bundle import Bundle, BundleFault, Manifest, open_bundle
+from cassiashore._internal.catalogue.bundle import BundleFault, open_bundle
 from cassiashore._internal.catalogue.index import Catalogue
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 
 Listener = Callable[[Catalogue], None]
 
--- a/src/cassiashore/_internal/catalogue/publisher.py
+++ b/src/cassiashore/_internal/catalogue/publisher.py
@@ -18,11 +18,9 @@
     MANIFEST_KEY,
     MAX_PART_BYTES,
     PART_KEY_PREFIX,
-    Bundle,
-    Change,
-    Manifest,
     make_bundle,
 )
+from cassiashore._internal.catalogue.manifest import Bundle, Change, Manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
 from cassiashore._internal.store.client import Conflict, Entry, StoreClient, StoreFault
 
--- a/src/cassiashore/_internal/cli/catalogue.py
+++ b/src/cassiashore/_internal/cli/catalogue.py
@@ -13,7 +13,8 @@
 import yaml
 from result import Err
 
-from cassiashore._internal.catalogue.bundle import Bundle, Manifest, open_spec
+from cassiashore._internal.catalogue.bundle import open_spec
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
 from cassiashore._internal.cli.check import load_catalogue
 from cassiashore._internal.cli.operator_client import CallAnswer, InstanceClient, instance_client
--- a/src/cassiashore/_internal/cli/main.py
+++ b/src/cassiashore/_internal/cli/main.py
@@ -18,13 +18,22 @@
     """Global traffic steering: look-ups, proxying, and limits that hold when sites fail."""
 
     def entry(self, settings: str) -> None:
-        """Run an instance with the settings in a YAML file, until SIGTERM."""
+        """Run an instance, until SIGTERM.
+
+        Args:
+            settings: YAML file with the settings; examples/vandermolen.yaml shows a catalogue and
+                docs/OPERATIONS.md the fields of the settings.
+        """
         from cassiashore._internal.cli.entry import run_entry
 
         run_entry(settings)
 
     def check(self, file: str) -> None:
-        """Check a settings or catalogue file: exit 0, or 2 with one line per fault."""
+        """Check a settings or catalogue file: exit 0, or 2 with one line per fault.
+
+        Args:
+            file: YAML file; its fields tell which kind of file it is.
+        """
         from cassiashore._internal.cli.check import run_check
 
         run_check(file)
@@ -33,6 +42,10 @@
         """Show, compare or change the catalogue: show, diff FILE, apply FILE, history.
 
         Example: cassiashore catalogue --instance 127.0.0.1:8080 --key-file operator.key show
+
+        Args:
+            instance: IP:PORT of any instance.
+            key_file: file with the operators' key.
         """
         from cassiashore._internal.cli.catalogue import CatalogueCommands
 
@@ -52,6 +65,15 @@
 
         Example: cassiashore drain target orders-3 --service orders --instance IP:PORT
         --key-file FILE
+
+        Args:
+            kind: target, instance or failure-domain.
+            name: what to drain.
+            instance: IP:PORT of any instance.
+            key_file: file with the operators' key.
+            service: the target's service; only for a target.
+            reason: text that others see in the status.
+            force: drain although the rest would be overloaded.
         """
         from cassiashore._internal.cli.drain import run_drain
 
@@ -60,13 +82,27 @@
     def undrain(
         self, kind: str, name: str, instance: str, key_file: str, service: str | None = None
     ) -> None:
-        """End a drain."""
+        """End a drain.
+
+        Args:
+            kind: target, instance or failure-domain.
+            name: what was drained.
+            instance: IP:PORT of any instance.
+            key_file: file with the operators' key.
+            service: the target's service; only for a target.
+        """
         from cassiashore._internal.cli.drain import run_undrain
 
         run_undrain(kind, name, instance, key_file, service)
 
     def status(self, instance: str, key_file: str, json: bool = False) -> None:
-        """Print the version in force and its reach, headroom, and drains with time left."""
+        """Print the version in force and its reach, headroom, and drains with time left.
+
+        Args:
+            instance: IP:PORT of any instance.
+            key_file: file with the operators' key.
+            json: print JSON for programs.
+        """
         from cassiashore._internal.cli.status import run_status
 
         run_status(instance, key_file, json)
@@ -74,7 +110,14 @@
     def lookup(
         self, service: str, instance: str, client: str | None = None, json: bool = False
     ) -> None:
-        """Ask which instances to use for a service, for a client address."""
+        """Ask which instances to use for a service.
+
+        Args:
+            service: name of the service.
+            instance: IP:PORT of any instance.
+            client: IP address of the caller; the asking address if left out.
+            json: print JSON for programs.
+        """
         from cassiashore._internal.cli.status import run_lookup
 
         run_lookup(service, instance, client, json)
@@ -85,6 +128,19 @@
 
         return StandinCommands()
 
+    def explain(self, *logs: str, request: str) -> None:
+        """Print what instances decided about one request, and why.
+
+        Example: cassiashore explain instance-1.log instance-2.log --request 9c41d07be2a35f68
+
+        Args:
+            logs: log files of instances, of which more than one may know the request.
+            request: the request's id.
+        """
+        from cassiashore._internal.cli.explain import run_explain
+
+        run_explain(list(logs), request)
+
     def version(self) -> str:
         """Print the version of the program."""
         from cassiashore import __version__
@@ -94,4 +150,4 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(Cassiashore, name="cassiashore")
+    fire.Fire(Cassiashore(), name="cassiashore")
--- a/src/cassiashore/_internal/entry/cluster.py
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -11,8 +11,9 @@
 from result import Err, Ok
 
 from cassiashore._internal.admission.rights import AdmissionRights, preferred_holder
-from cassiashore._internal.catalogue.bundle import Bundle, Manifest, digest_of
+from cassiashore._internal.catalogue.bundle import digest_of
 from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.peers.gossip import Gossip
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -16,10 +16,10 @@
 from cassiashore._internal.admission.rights import AdmissionRights
 from cassiashore._internal.admission.shift import LinkBudgets, ShiftLimiter
 from cassiashore._internal.admission.slots import ServiceSlots
-from cassiashore._internal.catalogue.bundle import Bundle, Manifest
 from cassiashore._internal.catalogue.follower import CatalogueFollower
 from cassiashore._internal.catalogue.index import Catalogue
 from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.publisher import PublishFault, publish, read_manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
 from cassiashore._internal.dns.server import DnsServer
--- a/src/cassiashore/_internal/http/api.py
+++ b/src/cassiashore/_internal/http/api.py
@@ -11,7 +11,7 @@
 from pydantic import ValidationError
 from result import Err, Result
 
-from cassiashore._internal.catalogue.bundle import Bundle, Manifest
+from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.publisher import PublishFault, Verdict
 from cassiashore._internal.catalogue.schema import CatalogueSpec
 from cassiashore._internal.routing.lookup import LookupAnswer
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -31,8 +31,8 @@
 from cassiashore._internal.net.http_client import Headers
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
-from cassiashore._internal.proxy.answers import status_of
 from cassiashore._internal.proxy.headers import end_to_end
+from cassiashore._internal.proxy.statuses import status_of
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
@@ -479,7 +479,7 @@
         version: int = 0,
     ) -> None:
         request_id = request.header(self._edge.request_id) or b""
-        self._decisions.write(
+        self._decisions.write_request(
             "refuse",
             id=request_id.decode("latin-1"),
             version=version,
@@ -493,7 +493,7 @@
         """Log the decision and count it."""
         request_id = call.request.header(self._edge.request_id) or b""
         seconds = time.monotonic() - call.request.received_at
-        self._decisions.write(
+        self._decisions.write_request(
             "route",
             id=request_id.decode("latin-1"),
             route=call.route.name,
--- a/src/cassiashore/_internal/observability/logs.py
+++ b/src/cassiashore/_internal/observability/logs.py
@@ -10,7 +10,9 @@
 import os
 import sys
 import threading
+import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import msgspec
@@ -18,6 +20,7 @@
 DECISION_LOGGER = "cassiashore.decisions"
 FIELDS_ATTRIBUTE = "fields"
 WRITE_INTERVAL_SECONDS = 0.05
+REQUEST_LINES_PER_SECOND = 300  # of one process: 90 KB/s at the usual length of a line
 
 
 class JsonFormatter(logging.Formatter):
@@ -106,11 +109,34 @@
 
 
 class DecisionLog:
-    """Writes one line for each routing or placement decision."""
+    """Writes one line for each routing or placement decision.
 
-    def __init__(self) -> None:
+    Lines about single requests are bounded by a rate; how many were left out is told in a line of
+    its own. Changes of belief are always written.
+    """
+
+    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
         """Use the decision logger."""
+        self.left_out = 0
         self._logger = logging.getLogger(DECISION_LOGGER)
+        self._monotonic = monotonic
+        self._second = 0
+        self._lines = 0
+        self._left_out_before = 0
+
+    def write_request(self, event: str, **fields: Any) -> None:
+        """Queue one line about a request unless this second has had its share of them."""
+        second = int(self._monotonic())
+        if second != self._second:
+            self._second, self._lines = second, 0
+            if self.left_out > self._left_out_before:
+                self.write("left-out", lines=self.left_out - self._left_out_before)
+                self._left_out_before = self.left_out
+        if self._lines >= REQUEST_LINES_PER_SECOND:
+            self.left_out += 1
+            return
+        self._lines += 1
+        self.write(event, **fields)
 
     def write(self, event: str, **fields: Any) -> None:
         """Queue one line with the given members."""
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cassiashore._internal.catalogue.bundle import Manifest
+from cassiashore._internal.catalogue.manifest import Manifest
 from cassiashore._internal.store.client import ListedInstance
 from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
--- a/src/cassiashore/_internal/proxy/answers.py
+++ b/src/cassiashore/_internal/proxy/answers.py
@@ -12,43 +12,11 @@
 from cassiashore._internal.proxy import headers as names
 from cassiashore._internal.proxy.attempt import LiveAnswer
 from cassiashore._internal.proxy.exchange import Send
+from cassiashore._internal.proxy.statuses import status_of
 from cassiashore._internal.requests.ledger import MAX_KEPT_ANSWER_BYTES, KeptAnswer
 
 RETRY_AFTER_SECONDS = b"1"
 
-_STATUS_BY_REASON: dict[Reason, int] = {
-    Reason.NO_CAPACITY: 503,
-    Reason.SHIFT_CAP: 503,
-    Reason.TARGET_SHED: 503,
-    Reason.TARGET_UNREACHABLE: 503,
-    Reason.TARGET_FAILED: 502,
-    Reason.DEADLINE: 504,
-    Reason.PEER_UNREACHABLE: 503,
-    Reason.PEER_FAILED: 502,
-    Reason.OWNER_GONE: 504,
-    Reason.KEY_EXPIRED: 410,
-    Reason.KEY_MISMATCH: 422,
-    Reason.KEY_IN_USE: 409,
-    Reason.KEY_MALFORMED: 400,
-    Reason.ANSWER_NOT_KEPT: 409,
-    Reason.KEYS_EXHAUSTED: 503,
-    Reason.STORE_UNREACHABLE: 503,
-    Reason.CLAIM_BUDGET: 429,
-    Reason.POISONOUS: 422,
-    Reason.UNKNOWN_SERVICE: 404,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.NOT_READY: 503,
-    Reason.HOP_REFUSED: 403,
-    Reason.TURNED_AWAY: 503,
-    Reason.REPEAT_BUDGET: 503,
-    Reason.UNKNOWN_ROUTE: 404,
-    Reason.ANOTHER_TARGET: 503,
-    Reason.BAD_ANSWER: 502,
-    Reason.NO_TARGET: 503,
-    Reason.MALFORMED: 400,
-    Reason.STOPPING: 503,
-}
-
 
 class FailureReport(msgspec.Struct):
     """The body of an answer that reports a failure."""
@@ -58,11 +26,6 @@
     detail: str
 
 
-def status_of(reason: Reason) -> int:
-    """Return the HTTP status that goes with a reason."""
-    return _STATUS_BY_REASON[reason]
-
-
 async def send_failure(send: Send, failure: Failure, served_by: str) -> None:
     """Tell the caller what is known of its request."""
     status = status_of(failure.reason)
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -340,7 +340,8 @@
         from prometheus_client import generate_latest
 
         self._metrics.store_calls.set(self.store.calls)
-        self._metrics.log_lines_dropped.set(self._logs.handler.dropped)
+        dropped = self._logs.handler.dropped + self._decisions.left_out
+        self._metrics.log_lines_dropped.set(dropped)
         table = self.forwarder.table
         self._metrics.version.set(table.version if table else 0)
         body = generate_latest(self._metrics.registry)
--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -149,3 +149,12 @@
         [sys.executable, str(EXAMPLES / "embed.py")], capture_output=True, text=True, check=True
     )
     assert "job-1: ran, unknown, unknown" in done.stdout
+
+
+def test_the_help_lists_every_command_and_explains_arguments() -> None:
+    listed = command("--help")
+    text = listed.stdout + listed.stderr
+    for command in ("catalogue", "check", "drain", "entry", "explain", "lookup", "status"):
+        assert f"     {command}\n" in text
+    explained = command("drain", "--help")
+    assert "IP:PORT of any instance" in explained.stdout + explained.stderr
--- a/tests/unit/test_catalogue.py
+++ b/tests/unit/test_catalogue.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 from pydantic import ValidationError
 
-from cassiashore._internal.catalogue.bundle import Bundle, make_bundle, open_bundle
+from cassiashore._internal.catalogue.bundle import make_bundle, open_bundle
 from cassiashore._internal.catalogue.keeper import CatalogueKeeper
+from cassiashore._internal.catalogue.manifest import Bundle
 from cassiashore._internal.peers import messages
 from tests.lib import builders
 
--- /dev/null
+++ b/tests/unit/test_platform_boundary.py
@@ -0,0 +1,52 @@
+"""The platform's names stay in one folder, and an instance there needs few libraries."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+SOURCE = Path(__file__).parents[2] / "src" / "cassiashore"
+ADAPTER = SOURCE / "platform"
+PLATFORM_NAMES = re.compile(
+    r"x-cassiashore-|CASSIASHORE_BOOT|/cassiashore/|servers/|op/(config|evacuate)|kv-(key|range|txn)"
+    r"|path-prefix|traffic-split|home-regions|session-affinity|cold-left|cold-per|max-attempts"
+    r"|current-rev|seq\b.*wire|ttl-s|heartbeat-s|drain-s|stable-window|fleetbench",
+    re.IGNORECASE,
+)
+HEAVY_LIBRARIES = ("pydantic", "yaml", "blacksheep", "uvicorn", "fire", "dnslib")
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder() -> None:
+    found = []
+    for file in SOURCE.rglob("*.py"):
+        if ADAPTER in file.parents:
+            continue
+        for number, line in enumerate(file.read_text().splitlines(), 1):
+            if PLATFORM_NAMES.search(line):
+                found.append(f"{file.relative_to(SOURCE)}:{number}: {line.strip()}")
+    assert found == []
+
+
+def test_the_adapter_hides_no_module_of_the_standard_library() -> None:
+    import platform
+
+    assert hasattr(platform, "python_version")
+    assert not (SOURCE.parent / "platform").exists()
+
+
+def test_an_instance_loads_no_library_that_it_does_not_need() -> None:
+    """Its start costs processor time, and its machine has only deploy/requirements.txt."""
+    code = "import sys, cassiashore.platform.__main__; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
+    assert [name for name in HEAVY_LIBRARIES if name in loaded] == []
+
+
+def test_the_pinned_libraries_of_an_instance_are_those_of_the_project() -> None:
+    root = SOURCE.parents[1]
+    project = (root / "pyproject.toml").read_text()
+    for line in (root / "deploy" / "requirements.txt").read_text().split():
+        assert f'"{line}"' in project
