Do not count own requests twice when a place's free slots are estimated

Cause: a digest's free slots were lessened by all own requests at the place, of every service, although the digest already contains those that were under way when it was made. A place with half of its slots taken by this instance looked full. Change: only requests of the service that were begun since the report are subtracted.

--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -378,13 +378,13 @@
         identity = self._finder.identity_at(place.address)
         if identity is None:
             return Err(Failure.not_run(Reason.PEER_UNREACHABLE, f"{place.name} is gone"))
-        outstanding = self._finder.outstanding_by_place
-        outstanding[place.name] = outstanding.get(place.name, 0) + 1
+        outstanding, service = self._finder.outstanding, exchange.service.name
+        outstanding.begin(place.name, service)
         try:
             hop = self._hop(exchange, _HOP_BY_PLACE[place.kind])
             return await self._forward(exchange, identity, hop)
         finally:
-            outstanding[place.name] -= 1
+            outstanding.end(place.name, service)
 
     def _hop(self, exchange: Exchange, kind: HopKind) -> Hop:
         return Hop(
--- a/src/cassiashore/_internal/routing/finder.py
+++ b/src/cassiashore/_internal/routing/finder.py
@@ -13,6 +13,7 @@
 from cassiashore._internal.peers.membership import Membership
 from cassiashore._internal.peers.messages import Gateway, Identity, ServiceLoad
 from cassiashore._internal.routing.domains import DomainTable, DomainView
+from cassiashore._internal.routing.outstanding import OutstandingRequests
 from cassiashore._internal.routing.places import Place, PlaceKind
 
 CACHE_SECONDS = 0.05
@@ -56,7 +57,7 @@
         self._monotonic = monotonic
         self._rng = rng
         self._cache: dict[_CacheKey, _CacheEntry] = {}
-        self.outstanding_by_place: dict[str, int] = {}
+        self.outstanding = OutstandingRequests()
 
     def local(
         self, slots: ServiceSlots, catalogue: Catalogue, home_region: str, home_domain: str
@@ -176,7 +177,6 @@
         name: str,
         is_move: bool,
     ) -> Place:
-        outstanding = self.outstanding_by_place.get(name, 0)
         return Place(
             kind=kind,
             name=name,
@@ -184,7 +184,7 @@
             region=region,
             address=Address.parse(identity.address),
             round_trip=round_trip,
-            free=max(0, load.free - outstanding),
+            free=self.outstanding.free_slots(name, load),
             total=load.total,
             queued=load.queued,
             latency=load.latency_ms * MILLISECOND,
--- /dev/null
+++ b/tests/unit/test_finder.py
@@ -0,0 +1,50 @@
+"""Places elsewhere, as the finder describes them from reports."""
+
+from __future__ import annotations
+
+import random
+
+from cassiashore._internal.peers.membership import Membership
+from cassiashore._internal.peers.messages import DomainDigest, Gateway, Identity, ServiceLoad
+from cassiashore._internal.routing.domains import DomainTable
+from cassiashore._internal.routing.finder import CACHE_SECONDS, PlaceFinder
+from tests.lib import builders
+from tests.lib.steering_builders import Clock
+
+SLOTS = 8
+
+
+def identity(domain: str) -> Identity:
+    return Identity(f"entry-{domain}", f"run-{domain}", domain, "127.0.0.1:8000", "127.0.0.1:8001")
+
+
+def digest(domain: str, *loads: ServiceLoad) -> DomainDigest:
+    gateway = Gateway(identity(domain), key_slot=0, ready=True, leaving=False)
+    return DomainDigest(domain, 1, 0, [gateway], list(loads))
+
+
+def test_requests_that_a_report_contains_are_not_counted_twice() -> None:
+    """Half of the slots of huron-a are taken, all by this instance, and its digest says so."""
+    clock = Clock()
+    own = identity("erie-a")
+    domains = DomainTable("erie-a")
+    finder = PlaceFinder(own, Membership(own, 1.0), domains, clock, random.Random(1))
+    catalogue = builders.catalogue()
+
+    def free() -> int:
+        clock.now += CACHE_SECONDS * 2
+        places = finder.elsewhere("orders", catalogue, "erie", "erie-a")
+        return next(place.free for place in places if place.name == "huron-a")
+
+    for _ in range(SLOTS // 2):
+        finder.outstanding.begin("huron-a", "orders")
+        finder.outstanding.begin("huron-a", "stock")
+    clock.now += 1.0
+    half = ServiceLoad("orders", SLOTS // 2, SLOTS, 0, 1.0)
+    domains.merge(digest("huron-a", half), clock.now)
+    assert free() == SLOTS // 2
+    finder.outstanding.begin("huron-a", "orders")
+    assert free() == SLOTS // 2 - 1
+    for _ in range(SLOTS // 2 + 1):
+        finder.outstanding.end("huron-a", "orders")
+    assert free() == SLOTS
