Pass over a place for a moment after it refused a request, and try the next one

Cause (decision lines of a failing start of the known red tests): the killed member held both targets of the service, so everything went to erie-b, whose digest showed a free slot that was taken. Every request was refused there first, within 36 ms, and after the service's retry budget was used up none was offered to huron-a, which had all slots free. Change: a refusal for want of a slot outweighs the digest for a quarter second, and costs no retry: no target saw the request, and each place refuses at most once in that time.

--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -246,8 +246,8 @@
             return False
         if failure.outcome is Outcome.NOT_RUN and failure.reason in _NOTHING_SENT:
             return True
-        costs_nothing = place.kind is PlaceKind.LOCAL or progress.reach is Reach.DOMAIN
-        if costs_nothing and failure.reason in _FREE_TO_RETRY:
+        if failure.reason in _FREE_TO_RETRY:
+            # No target saw the request, and a place that refuses is not tried again for a moment.
             return True
         if progress.reach is not Reach.ANYWHERE or not runtime.budget.try_retry():
             return False
@@ -382,7 +382,10 @@
         outstanding.begin(place.name, service)
         try:
             hop = self._hop(exchange, _HOP_BY_PLACE[place.kind])
-            return await self._forward(exchange, identity, hop)
+            outcome = await self._forward(exchange, identity, hop)
+            if isinstance(outcome, Err) and outcome.err_value.reason is Reason.NO_CAPACITY:
+                outstanding.refused(place.name, service)
+            return outcome
         finally:
             outstanding.end(place.name, service)
 
--- a/src/cassiashore/_internal/routing/finder.py
+++ b/src/cassiashore/_internal/routing/finder.py
@@ -57,7 +57,7 @@
         self._monotonic = monotonic
         self._rng = rng
         self._cache: dict[_CacheKey, _CacheEntry] = {}
-        self.outstanding = OutstandingRequests()
+        self.outstanding = OutstandingRequests(monotonic)
 
     def local(
         self, slots: ServiceSlots, catalogue: Catalogue, home_region: str, home_domain: str
@@ -87,7 +87,9 @@
         key = _CacheKey(service, home_region, home_domain)
         entry = self._cache.get(key)
         if entry is not None and now < entry.until and entry.version == catalogue.version:
-            return entry.places
+            return [
+                place for place in entry.places if not self.outstanding.is_full(place.name, service)
+            ]
         places = [
             *self._peers(service, catalogue, home_region, home_domain),
             *self._remotes(service, catalogue, home_region, home_domain, now),
--- a/src/cassiashore/_internal/routing/outstanding.py
+++ b/src/cassiashore/_internal/routing/outstanding.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cassiashore._internal.peers.messages import ServiceLoad
 
+REFUSAL_SECONDS = 0.25  # half a digest interval: how long a place's refusal outweighs its report
+
 
 @dataclass(slots=True)
 class _Count:
@@ -14,17 +17,20 @@
     now: int = 0
     at_report: int = 0
     report: ServiceLoad | None = None
+    full_until: float = float("-inf")
 
 
 class OutstandingRequests:
     """Counts own requests by place and service.
 
     A report already contains the requests that were under way when it was made. Subtracting all
-    requests of the moment would count them twice and show a place full that is half empty.
+    requests of the moment would count them twice and show a place full that is half empty. A place
+    that refused a request for want of a slot is full for a moment, whatever it reported before.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, monotonic: Callable[[], float]) -> None:
         """Start with no request under way."""
+        self._monotonic = monotonic
         self._count_by_place: dict[tuple[str, str], _Count] = {}
 
     def begin(self, place: str, service: str) -> None:
@@ -35,10 +41,18 @@
         """Count a request as ended."""
         self._count(place, service).now -= 1
 
+    def refused(self, place: str, service: str) -> None:
+        """Take in that a place had no free slot."""
+        self._count(place, service).full_until = self._monotonic() + REFUSAL_SECONDS
+
+    def is_full(self, place: str, service: str) -> bool:
+        """Tell whether a place lately refused a request."""
+        return self._monotonic() < self._count(place, service).full_until
+
     def free_slots(self, place: str, load: ServiceLoad) -> int:
         """Return the free slots of a report, less own requests that were begun since.
 
-        >>> requests = OutstandingRequests()
+        >>> requests = OutstandingRequests(lambda: 0.0)
         >>> requests.begin("huron-a", "stock")
         >>> report = ServiceLoad("stock", 3, 4, 0, 1.0)  # has the request in it
         >>> requests.free_slots("huron-a", report)
@@ -50,6 +64,8 @@
         count = self._count(place, load.service)
         if count.report is not load:
             count.report, count.at_report = load, count.now
+        if self.is_full(place, load.service):
+            return 0
         return min(load.total, max(0, load.free - (count.now - count.at_report)))
 
     def _count(self, place: str, service: str) -> _Count:
--- a/tests/unit/test_finder.py
+++ b/tests/unit/test_finder.py
@@ -8,6 +8,7 @@
 from cassiashore._internal.peers.messages import DomainDigest, Gateway, Identity, ServiceLoad
 from cassiashore._internal.routing.domains import DomainTable
 from cassiashore._internal.routing.finder import CACHE_SECONDS, PlaceFinder
+from cassiashore._internal.routing.outstanding import REFUSAL_SECONDS
 from tests.lib import builders
 from tests.lib.steering_builders import Clock
 
@@ -23,6 +24,29 @@
     return DomainDigest(domain, 1, 0, [gateway], list(loads))
 
 
+def test_a_place_that_refused_is_passed_over_for_a_moment() -> None:
+    """The digest of erie-b still shows a free slot; each request would be refused there first."""
+    clock = Clock()
+    own = identity("erie-a")
+    domains = DomainTable("erie-a")
+    finder = PlaceFinder(own, Membership(own, 1.0), domains, clock, random.Random(1))
+    catalogue = builders.catalogue()
+    for domain in ("erie-b", "huron-a"):
+        domains.merge(digest(domain, ServiceLoad("orders", 1, SLOTS, 0, 1.0)), clock.now)
+
+    def places_with_room() -> set[str]:
+        places = finder.elsewhere("orders", catalogue, "erie", "erie-a")
+        return {place.name for place in places if place.free > 0}
+
+    assert places_with_room() == {"erie-b", "huron-a"}
+    finder.outstanding.refused("erie-b", "orders")
+    assert places_with_room() == {"huron-a"}
+    clock.now += CACHE_SECONDS * 2
+    assert places_with_room() == {"huron-a"}
+    clock.now += REFUSAL_SECONDS
+    assert places_with_room() == {"erie-b", "huron-a"}
+
+
 def test_requests_that_a_report_contains_are_not_counted_twice() -> None:
     """Half of the slots of huron-a are taken, all by this instance, and its digest says so."""
     clock = Clock()
