Concentrate the callers of a failure domain on the instances with the most room

Change: the directory names three instances of each failure domain, the largest first, ties by hash of the address; senders to cold targets are chosen among them. Ruled out: a hop to one instance per target, which costs bytes between zones and state that must move.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -9,6 +9,7 @@
 
 from cassiashore._internal.models.hashing import hash64
 from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.steering.carriers import all_carriers
 from cassiashore._internal.steering.cold import Candidate
 
 logger = logging.getLogger(__name__)
@@ -72,14 +73,20 @@
         return registered + (self.own_incarnation not in self.record_by_incarnation)
 
     def candidates(self) -> list[Candidate]:
-        """Return the instances for choices that must be alike everywhere."""
+        """Return the instances that carry callers, for choices that must be alike everywhere."""
         if self._candidates is None:
             by_incarnation = dict(self.record_by_incarnation)
             by_incarnation.setdefault(self.own_incarnation, self.own)
-            self._candidates = [
-                Candidate(incarnation, record.identity.failure_domain, record.region)
+            self._candidates = all_carriers(
+                Candidate(
+                    incarnation,
+                    record.identity.failure_domain,
+                    record.region,
+                    record.identity.address,
+                    record.capacity,
+                )
                 for incarnation, record in by_incarnation.items()
-            ]
+            )
         return self._candidates
 
     def decides_for_region(self) -> bool:
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -28,6 +28,8 @@
     incarnation: str
     failure_domain: str
     region: str
+    address: str = ""
+    capacity: float = 1.0
 
 
 def senders_to(
--- a/src/cassiashore/_internal/steering/directory.py
+++ b/src/cassiashore/_internal/steering/directory.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from cassiashore._internal.steering.carriers import all_carriers
+
 LEAST_IN_ZONE = 2  # with one, its callers have nowhere to go until their answer expires
 MAX_INSTANCES = 64  # callers take no more
 
@@ -17,6 +19,7 @@
     address: str
     failure_domain: str
     region: str
+    capacity: float = 1.0
 
 
 def entrances_for(
@@ -29,9 +32,10 @@
 ) -> list[Entrance]:
     """Return the nearest instances for a caller, at most ``MAX_INSTANCES``.
 
-    Those of the caller's failure domain if there are enough, else those of its region; where its
-    region has none, those of the nearest region, and of a home region if the routes have homes.
+    The carriers of the caller's failure domain if there are enough, else those of its region; where
+    its region has none, those of the nearest region, and of a home region if the routes have homes.
     """
+    entrances = all_carriers(entrances)
     near = [e for e in entrances if e.failure_domain == failure_domain]
     if len(near) < LEAST_IN_ZONE:
         near = [e for e in entrances if e.region == region]
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -306,7 +306,7 @@
         if table is None:
             return []
         entrances = [
-            Entrance(r.identity.address, r.identity.failure_domain, r.region)
+            Entrance(r.identity.address, r.identity.failure_domain, r.region, r.capacity)
             for r in self.instances.records()
             if not (self._is_stopping and r.identity.incarnation == self.instances.own_incarnation)
         ]
