Keep keys at their targets: agreed shares, time-outs that count, loads told within a region, fewer calls

Some instances ranked keys apart: a decider published only the services that it had just changed, so an instance that started later knew some shares only. The time for objects that are not kept was learned from the few runs that ended within the route's timeout. Loads were seconds old. Followers read the store themselves whenever it was quiet for two watches. Change: all decided shares are published under one key without a lease, which outlasts restarts; a request without an answer counts with the time it took, and its object as kept; instances of a region tell each other the loads that targets report, by way of the region's reader; a quiet watch is shorter than what followers allow; refused renewals back off; crash reports go out once a second; calls to the store are logged by kind.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -109,6 +109,7 @@
         """Keep the parts; ``table`` is set when a configuration is in force."""
         self.table: RouteTable | None = None
         self.refuses_new = False
+        self.on_load: Callable[[str, int], None] = lambda target_id, busy: None
         self._edge = edge
         self._registry = registry
         self._placement = placement
@@ -379,7 +380,7 @@
         step.append(round(time.monotonic() - started, 4))
         if isinstance(outcome, Err):
             step.append(outcome.err_value.reason.value)
-            self._note_failure(call, target, outcome.err_value)
+            self._note_failure(call, chosen, outcome.err_value, time.monotonic() - started)
             return outcome
         answer = outcome.ok_value
         self._note_load(target, answer)
@@ -409,8 +410,11 @@
             f'"{target.target_id}" gave an answer of status {status} that' " proves nothing",
         )
 
-    def _note_failure(self, call: Call, target: RegisteredTarget, failure: Failure) -> None:
+    def _note_failure(self, call: Call, chosen: Estimate, failure: Failure, seconds: float) -> None:
+        target = chosen.target
         if failure.reason is Reason.DEADLINE:
+            if failure.outcome is Outcome.UNKNOWN:
+                self._placement.unanswered(target, call.service, call.key, seconds, chosen.waiting)
             return
         if failure.reason is Reason.TARGET_UNREACHABLE:
             call.sends -= 1
@@ -442,7 +446,9 @@
             return
         parts = value.split(b",")
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
-            target.load.report(int(parts[0]) + int(parts[1]), time.monotonic())
+            busy = int(parts[0]) + int(parts[1])
+            target.load.report(busy, time.monotonic())
+            self.on_load(target.target_id, busy)
 
     # Answering.
 
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -20,8 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_SECONDS = 1.0  # bounds the time until a silent connection is noticed, with the call's margin
-MIN_WATCH_INTERVAL_SECONDS = 0.25  # changes come in groups; each answered watch is a call
+WATCH_SECONDS = 0.8  # bounds the time until a silent connection is noticed, with the call's margin
+MIN_WATCH_INTERVAL_SECONDS = 0.4  # changes come in groups; each answered watch is a call
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.25
 RELAY_SILENCE_SECONDS = 1.2
--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -15,7 +15,8 @@
 logger = logging.getLogger(__name__)
 
 RENEWALS_PER_LEASE = 3
-RETRY_SECONDS = 0.3
+FIRST_RETRY_SECONDS = 0.3
+MAX_RETRY_SECONDS = 1.2  # a refused call costs as much as an answered one
 STEP_SECONDS = 0.25
 
 
@@ -55,11 +56,14 @@
 
     async def run(self) -> None:
         """Write, renew and write again what was lost, until cancelled."""
+        retry = FIRST_RETRY_SECONDS
         while True:
             if await self._step():
+                retry = FIRST_RETRY_SECONDS
                 await self._pause(STEP_SECONDS)
             else:
-                await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(retry)
+                retry = min(MAX_RETRY_SECONDS, retry * 2)
 
     async def withdraw(self) -> None:
         """Remove the keys by ending the lease, once and without waiting long."""
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -202,6 +202,12 @@
     age_ms: int
 
 
+class FeedLoads(_Message, frozen=True, tag=20):
+    """Tells requests running and waiting at targets, by the hash of the target's id."""
+
+    busy_by_target: dict[int, int]
+
+
 Message = (
     Hello
     | Proof
@@ -222,6 +228,7 @@
     | FeedSnapshot
     | FeedChanges
     | FeedBeat
+    | FeedLoads
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -9,7 +9,8 @@
 instances, over which callers are spread. Then it follows the load that targets report, in small
 steps, since every step moves keys to targets that do not keep them yet. One instance of the region
 decides for all of them: if each followed what it sees itself, they would send one key to several
-targets, which would all have to keep it.
+targets, which would all have to keep it. What was decided stays in the store when all instances
+end, since the targets still keep the objects by it.
 """
 
 from __future__ import annotations
@@ -92,6 +93,10 @@
         decided = self._share_by_service.get(service)
         return self._initial_by_service.get(service, 1.0) if decided is None else decided
 
+    def decisions_with(self, share_by_service: dict[str, float]) -> dict[str, float]:
+        """Return all that holds with new decisions: what is published stands for itself."""
+        return {**self._share_by_service, **share_by_service}
+
     def decided(self, share_by_service: dict[str, float]) -> None:
         """Take over what the deciding instance of the region says."""
         for service, share in share_by_service.items():
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -57,6 +57,10 @@
         else:
             self.unknown = _blend(self.unknown, seconds)
 
+    def learn_at_least(self, seconds: float) -> None:
+        """Take in that an object of which nothing was known took longer than this."""
+        self.unknown = _blend(self.unknown, max(self.unknown, seconds))
+
     def warm_or(self, objective: float) -> float:
         """Return the time for a kept object."""
         return self.warm or objective * WARM_SHARE
@@ -184,6 +188,25 @@
         work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
         self.times(service).learn(work, is_warm=self.is_warm(target, key))
         target.load.answered(work, self._monotonic())
+        self._note_key(target, key)
+
+    def unanswered(
+        self, target: RegisteredTarget, service: str, key: str, seconds: float, waited: float
+    ) -> None:
+        """Learn from a request that had no answer after ``seconds``, which took longer than that.
+
+        Without these, the time for an object that is not kept would be that of the few such
+        requests that were fast enough, and every busy target's keys would go elsewhere. The target
+        keeps the object of a run that it did not finish.
+        """
+        work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
+        if self.is_warm(target, key):
+            target.load.answered(work, self._monotonic())
+        else:
+            self.times(service).learn_at_least(work)
+        self._note_key(target, key)
+
+    def _note_key(self, target: RegisteredTarget, key: str) -> None:
         keys = self._keys_by_target.setdefault(target.target_id, OrderedDict())
         keys[key] = None
         keys.move_to_end(key)
--- a/src/cassiashore/_internal/store/events.py
+++ b/src/cassiashore/_internal/store/events.py
@@ -60,6 +60,9 @@
     seconds: float
 
 
+NO_LEASE = 0  # a key that stays until it is deleted
+
+
 @dataclass(frozen=True, slots=True)
 class Write:
     """A key to write under a lease (0: none)."""
--- a/src/cassiashore/platform/changes.py
+++ b/src/cassiashore/platform/changes.py
@@ -97,8 +97,7 @@
             return
         self.registry.apply(decoded.ok_value)
 
-    def _balance_changed(self, rest: str, value: bytes | None) -> None:
-        region = rest.partition("/")[0]
+    def _balance_changed(self, region: str, value: bytes | None) -> None:
         if value is None or region != self.instances.own.region:
             return
         try:
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -9,6 +9,7 @@
 import time
 
 import msgspec
+from result import Ok
 
 from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
 from cassiashore._internal.ingress.forwarder import Forwarder
@@ -33,6 +34,7 @@
 from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import IngressLimits
+from cassiashore._internal.store.events import NO_LEASE, Write
 from cassiashore._internal.supervision import TaskSet
 from cassiashore.platform.changes import StoreChanges
 from cassiashore.platform.faces import Faces
@@ -54,6 +56,7 @@
 CONNECTIONS_PER_TARGET = 64  # of one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_SECONDS = 5.0
+CRASH_REPORT_SECONDS = 1.0  # well within stable-window; each report is a write to the store
 REFUSE_AFTER_SHARE = 0.45  # of the grace period: requests that come later could be cut off
 END_SHARE = 0.93  # of the grace period; the process ends before it is killed
 LEAVE_SECONDS = 2.0  # callers and the platform learn within this time that the instance leaves
@@ -78,6 +81,7 @@
         self._logs = logs
         self._content_seen = settings
         self._is_stopping = False
+        self._crashed = asyncio.Event()
         self.tasks = TaskSet()
         self._rng = random.Random()
         identity = Identity(
@@ -149,6 +153,8 @@
             is_seed,
             self._rng,
         )
+        self.relay.on_loads = self.registry.note_loads
+        self.forwarder.on_load = self.relay.loads.heard
         self.relay.is_failing = lambda: self.follower.is_failing
         self._probe = DistanceProbe(self.instances, self.distances, self._rng)
 
@@ -172,7 +178,7 @@
             self.balance,
             self._decisions,
         )
-        self.poison.on_crash = self._publish_crashes
+        self.poison.on_crash = self._crashed.set
 
     # Life cycle.
 
@@ -187,12 +193,14 @@
         for work in (
             self.follower.run(),
             self.relay.run(),
+            self.relay.run_loads(),
             self.registration.run(),
             self._probe.run(),
             self._register_when_ready(),
             self._watch_settings(),
             self._maintain(),
             self._balance_regions(),
+            self._publish_crashes(),
         ):
             self.tasks.spawn(work)
         await self._wait_for_configuration()
@@ -263,9 +271,23 @@
                 if share is not None:
                     decided[service] = share
             if decided and self.instances.decides_for_region() and not self._is_stopping:
-                self._decisions.write("balance", own_share=decided, region=self.own.region)
-                key = f"{BALANCE_PREFIX}{self.own.region}/{self.instances.own_incarnation}"
-                self.registration.put(key, msgspec.msgpack.encode(decided))
+                await self._publish_balance(self.balance.decisions_with(decided))
+
+    async def _publish_balance(self, share_by_service: dict[str, float]) -> None:
+        """Write the region's shares without a lease, so that they outlast all instances."""
+        key = BALANCE_PREFIX + self.own.region
+        known = self.mirror.item_by_key.get(key)
+        value = msgspec.msgpack.encode(share_by_service)
+        outcome = await self.store.commit(
+            {key: known.revision if known is not None else 0}, [Write(key, value, NO_LEASE)]
+        )
+        self._decisions.write(
+            "balance",
+            own_share=share_by_service,
+            region=self.own.region,
+            after=known.revision if known is not None else 0,
+            outcome="published" if isinstance(outcome, Ok) else str(outcome.err_value),
+        )
 
     async def _watch_settings(self) -> None:
         while True:
@@ -275,6 +297,7 @@
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_SECONDS)
+            self._decisions.write("store-calls", **self.store.calls_by_kind)
             for target in self.registry.target_by_id.values():
                 target.pool.close_stale()
 
@@ -344,10 +367,15 @@
             time.monotonic,
         )
 
-    def _publish_crashes(self) -> None:
-        counts = self.poison.own_counts()
+    async def _publish_crashes(self) -> None:
+        """Tell of lost connections in groups: a target that fails loses many at once."""
         key = CRASH_PREFIX + self.instances.own_incarnation
-        self.registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
+        while True:
+            await self._crashed.wait()
+            self._crashed.clear()
+            counts = self.poison.own_counts()
+            self.registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
+            await asyncio.sleep(CRASH_REPORT_SECONDS)
 
 
 async def _listen(face: IngressServer, address: str | None) -> None:
--- a/src/cassiashore/platform/store.py
+++ b/src/cassiashore/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
+from collections import Counter
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -35,6 +36,7 @@
 ValueT = TypeVar("ValueT")
 _JSON = [(b"content-type", b"application/json")]
 _OK = frozenset({200})
+_PATH_PREFIX = "/cassiashore/kv-"
 
 
 class _Item(msgspec.Struct, rename="kebab"):
@@ -82,6 +84,7 @@
 
     def __init__(self, address: Address) -> None:
         """Create a client without connections."""
+        self.calls_by_kind: Counter[str] = Counter()
         self._caller = HttpCaller("store", address, CONNECTIONS, CONNECT_SECONDS, MAX_ANSWER_BYTES)
 
     @property
@@ -218,6 +221,7 @@
         allowed: frozenset[int] | set[int],
         timeout: float,
     ) -> Result[tuple[ResponseHead, bytes], StoreFault]:
+        self.calls_by_kind[path.removeprefix(_PATH_PREFIX).partition("?")[0].partition("/")[0]] += 1
         answer = await self._caller.call(method, path, body, timeout, _JSON if body else None)
         if isinstance(answer, Err):
             return answer
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -55,6 +55,46 @@
     assert len({after[k] for k in keys if before[k] == "t-3"}) > 1
 
 
+def test_a_request_without_an_answer_shows_how_long_an_object_takes_that_is_not_kept() -> None:
+    """The route's timeout is shorter than the work of most objects that are not kept.
+
+    Answers show the few fast ones only. Were the time for other objects taken from these, a target
+    with a short queue would lose its keys to targets where their requests cannot end in time.
+    """
+    clock = Clock()
+    targets = with_targets(clock, near=3, far=0)
+    placement = place(targets, clock)
+    first, second, third = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    for _ in range(60):
+        placement.answered(first, "stock", "k", 0.11, 0.0)
+    for number in range(60):
+        placement.unanswered(second, "stock", f"other-{number}", 0.36, 0.0)
+        placement.answered(third, "stock", f"fast-{number}", 0.12, 0.0)
+    first.load.report(8, clock.now)
+    estimates = placement.estimates([first, second, third], "stock", "new", OBJECTIVE)
+    assert best_of(estimates).target is first
+
+
+def test_a_target_keeps_the_object_of_a_request_that_it_did_not_answer_in_time() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=2, far=0)
+    placement = place(targets, clock)
+    target = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)[1]
+    placement.unanswered(target, "stock", "k", 0.36, 0.0)
+    assert placement.is_warm(target, "k")
+
+
+def test_what_a_region_publishes_holds_all_that_was_decided_before() -> None:
+    """An instance that starts reads the last decision only, and must rank keys as the others do."""
+    old, new = RegionBalance("erie"), RegionBalance("erie")
+    old.decided({"stock": 0.5, "orders": 0.7})
+    published = old.decisions_with({"stock": 0.6})
+    for balance in (old, new):
+        balance.decided(published)
+    assert [new.share(s) for s in ("stock", "orders")] == [0.6, 0.7]
+    assert [old.share(s) for s in ("stock", "orders")] == [0.6, 0.7]
+
+
 def test_homes_bind_whatever_the_load() -> None:
     clock = Clock()
     placement = place(with_targets(clock, near=3, far=3), clock)
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -11,6 +11,7 @@
 from cassiashore._internal.mirror.relay import FeedRelay
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.steering.load_exchange import target_hash
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 from tests.lib.platform_builders import free_port, until
 
@@ -105,3 +106,40 @@
         chosen.append({reader.identity.instance for reader in readers})
         assert {reader.region for reader in readers} == {"erie", "huron", "superior"}
     assert all(names == chosen[0] for names in chosen)
+
+
+def test_what_one_instance_hears_of_a_target_reaches_the_others_of_its_region() -> None:
+    """Without it, an instance that sends little goes by reports that are seconds old."""
+
+    async def test() -> None:
+        peers = [await Peer(f"peer-{n}", []).start() for n in range(4)]
+        heard: dict[int, dict[int, int]] = {n: {} for n in range(len(peers))}
+        tasks = [asyncio.create_task(keep_current(peer)) for peer in peers]
+        for number, peer in enumerate(peers):
+            peer.mirror.replace(Snapshot(5, []))
+            for other in peers:
+                incarnation = other.record.identity.incarnation
+                peer.instances.changed(incarnation, encode_record(other.record))
+            peer.relay.on_loads = heard[number].update
+            tasks.append(asyncio.create_task(peer.relay.run_loads()))
+        hashes = [target_hash(f"t-{number}") for number in range(len(peers))]
+
+        def all_told() -> bool:
+            # Each tells again and again: an instance that told nothing lately is told nothing.
+            for number, peer in enumerate(peers):
+                peer.relay.loads.heard(f"t-{number}", number)
+            return all(
+                heard[number].get(hashes[other]) == other
+                for number in heard
+                for other in heard
+                if other != number
+            )
+
+        await until(all_told)
+        assert all(hashes[number] not in heard[number] for number in heard)
+        for task in tasks:
+            task.cancel()
+        for peer in peers:
+            peer.stop()
+
+    run(test)
