Send copies and changes once and packed; favour those who come back while they are few; drop the exchange of loads

Followers whose source changed while instances registered read the store themselves (475 times). Change: one source sends copies and changes, packed by zlib; the others are on standby and take over when they know more. A source that ended counts for the silence that is allowed anyway. A caller that was turned away before, which shows in its time left, may wait for 1.3 of the objective, as long as at most a tenth of the route's requests are such. The exchange of loads within a region is taken out again.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -41,6 +41,7 @@
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser
+from cassiashore._internal.steering.tries import TryMemory
 
 PREFIX_BYTES = 64 * 1024  # bodies up to this are taken whole first, and can be sent again
 MAX_DEADLINE_DIGITS = 9
@@ -67,6 +68,7 @@
     key: str
     deadline: float
     version: int
+    is_favoured: bool = False
     fingerprint: int = 0
     sends: int = 0
     may_have_run: int = 0
@@ -109,7 +111,6 @@
         """Keep the parts; ``table`` is set when a configuration is in force."""
         self.table: RouteTable | None = None
         self.refuses_new = False
-        self.on_load: Callable[[str, int], None] = lambda target_id, busy: None
         self._edge = edge
         self._registry = registry
         self._placement = placement
@@ -121,6 +122,7 @@
         self._metrics = metrics
         self._rng = rng
         self._split = SplitChooser()
+        self._tries = TryMemory()
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self._own_request_headers = frozenset(
             {edge.deadline_ms, edge.expect_target, b"content-length"}
@@ -210,9 +212,11 @@
 
     def _call(self, request: IngressRequest, route: Route, version: int, send: Send) -> Call:
         longest = route.timeout
+        is_favoured = False
         given = request.header(self._edge.deadline_ms)
         if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
             longest = int(given) / 1000
+            is_favoured = self._tries.is_favoured(route.name, longest)
         key = _cookie(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
         call = Call(
             request,
@@ -221,6 +225,7 @@
             key or send.request_id.decode("latin-1"),
             request.received_at + min(longest, route.timeout),
             version,
+            is_favoured,
         )
         affinity = key or ""
         call.fingerprint = fingerprint(
@@ -341,7 +346,7 @@
             )
             if target.target_id not in call.tried and not target.health.is_resting(now)
         ]
-        urgency = Urgency(call.deadline - now, route.objective, route.priority)
+        urgency = Urgency(call.deadline - now, route.objective, route.priority, call.is_favoured)
         while ranked:
             best = best_of(
                 self._placement.estimates(ranked, call.service, call.key, route.objective)
@@ -446,9 +451,7 @@
             return
         parts = value.split(b",")
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
-            busy = int(parts[0]) + int(parts[1])
-            target.load.report(busy, time.monotonic())
-            self.on_load(target.target_id, busy)
+            target.load.report(int(parts[0]) + int(parts[1]), time.monotonic())
 
     # Answering.
 
@@ -518,6 +521,7 @@
             service=call.service,
             key=call.key,
             version=call.version,
+            favoured=call.is_favoured,
             left_s=round(call.deadline - time.monotonic(), 3),
             steps=call.steps,
             result=result,
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -5,10 +5,16 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+
+import msgspec
 
 from cassiashore._internal.exceptions import ProtocolViolationError
-from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
+from cassiashore._internal.mirror.follower import (
+    LEAST_READERS,
+    RELAY_SILENCE_SECONDS,
+    WATCH_SECONDS,
+)
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.models.address import Address
@@ -17,13 +23,13 @@
 from cassiashore._internal.peers.messages import (
     FeedBeat,
     FeedChanges,
-    FeedLoads,
     FeedSnapshot,
     FeedWanted,
     Identity,
+    pack,
+    unpack,
 )
-from cassiashore._internal.steering.load_exchange import LoadExchange
-from cassiashore._internal.store.events import ChangeBatch
+from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
 logger = logging.getLogger(__name__)
 
@@ -31,8 +37,6 @@
 # What a watch confirms is as old as its start, and the next one takes as long to confirm more: two
 # quiet watches and a beat. Older knowledge may miss changes.
 FRESH_SECONDS = 2 * WATCH_SECONDS + 0.4
-LOAD_SECONDS = 0.2  # a fraction of an answer time; 4 KB/s at 120 targets heard of in that time
-LOAD_INTEREST_SECONDS = 3.0  # after which an instance that told nothing is told nothing
 STALE_MS = 60_000  # told while the store cannot be followed
 REDIAL_SECONDS = 0.5
 BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
@@ -40,11 +44,23 @@
 MAX_SOURCES = 2
 BOOT_SOURCES = 3
 LINK_SILENCE_SECONDS = 2.0
-_LINK_ERRORS = (OSError, asyncio.IncompleteReadError, ProtocolViolationError, TimeoutError)
+BEHIND_SECONDS = 0.3  # that a standby source knows more than the one that sends the changes
+_LINK_ERRORS = (
+    OSError,
+    asyncio.IncompleteReadError,
+    ProtocolViolationError,
+    TimeoutError,
+    msgspec.DecodeError,
+)
 
 
 class FeedRelay:
-    """Subscribes to instances that read the store, and serves those that subscribe here."""
+    """Subscribes to instances that read the store, and serves those that subscribe here.
+
+    One source sends the changes. The others are on standby and send beats only, until the first one
+    ends or they know more than it: most of the bytes would come twice otherwise, and from other
+    regions.
+    """
 
     def __init__(
         self,
@@ -57,9 +73,6 @@
     ) -> None:
         """Create a relay without streams; ``seeds`` are tried until instances are known."""
         self.is_failing: Callable[[], bool] = lambda: False
-        self.on_loads: Callable[[Mapping[int, int]], None] = lambda busy_by_target: None
-        self.loads = LoadExchange()
-        self._told_loads_at: dict[PeerLink, float] = {}
         self._link_by_source: dict[Address, PeerLink] = {}
         self._heard_by_source: dict[Address, float] = {}
         self._own = own
@@ -69,6 +82,10 @@
         self._seeds = seeds
         self._region_distance = region_distance
         self._subscribers: set[PeerLink] = set()
+        self._standbys: set[PeerLink] = set()
+        self._sender: PeerLink | None = None
+        self._behind_since: float | None = None
+        self._packed: tuple[int, bytes] = (0, b"")
         self._source_by_address: dict[Address, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
         self._accepted: set[asyncio.Task[None]] = set()
@@ -76,7 +93,14 @@
 
     @property
     def heard_at(self) -> float:
-        """Return when a source last told that the mirror is current."""
+        """Return when a source last told that the mirror is current, if that is not long ago.
+
+        A source that has ended counts for a while: readers change as instances start and end, and
+        if all followers read the store meanwhile, each change costs as many calls.
+        """
+        oldest = time.monotonic() - RELAY_SILENCE_SECONDS
+        for address in [a for a, at in self._heard_by_source.items() if at < oldest]:
+            del self._heard_by_source[address]
         return max(self._heard_by_source.values(), default=float("-inf"))
 
     async def listen(self, address: Address) -> None:
@@ -90,18 +114,6 @@
             self._beat()
             await asyncio.sleep(BEAT_SECONDS)
 
-    async def run_loads(self) -> None:
-        """Pass on what was heard of the load of targets within the region."""
-        while True:
-            await asyncio.sleep(LOAD_SECONDS)
-            oldest = time.monotonic() - LOAD_INTEREST_SECONDS
-            told_by = [link for link, at in self._told_loads_at.items() if at >= oldest]
-            for link in [*told_by, *self._sources_in_region()]:
-                news = self.loads.news_for(link)
-                if news:
-                    link.send(FeedLoads(news))
-            self.loads.clear()
-
     def close(self) -> None:
         """End all streams."""
         if self._server is not None:
@@ -128,33 +140,39 @@
                 message = await link.receive()
                 if isinstance(message, FeedWanted):
                     self._subscribe(link, message)
-                elif isinstance(message, FeedLoads):
-                    self._told_loads_at[link] = time.monotonic()
-                    self._take_loads(link, message)
         except _LINK_ERRORS as error:
             logger.debug("the stream of subscriber %s ended: %s", link.peer.instance, error)
         finally:
             self._subscribers.discard(link)
-            self._told_loads_at.pop(link, None)
+            self._standbys.discard(link)
             self._accepted.discard(task)
             link.abort()
 
     def _subscribe(self, link: PeerLink, wanted: FeedWanted) -> None:
-        if self._mirror.is_filled and wanted.revision < self._mirror.revision:
-            link.send(FeedSnapshot(self._mirror.snapshot()))
-        self._subscribers.add(link)
+        if wanted.is_standby:
+            self._subscribers.discard(link)
+            self._standbys.add(link)
+        else:
+            if self._mirror.is_filled and wanted.revision < self._mirror.revision:
+                link.send(FeedSnapshot(self._packed_snapshot()))
+            self._standbys.discard(link)
+            self._subscribers.add(link)
         self._beat_to([link])
 
-    def _take_loads(self, link: PeerLink, message: FeedLoads) -> None:
-        self.on_loads(message.busy_by_target)
-        self.loads.received(message.busy_by_target, link)
+    def _packed_snapshot(self) -> bytes:
+        """Return the copy as it goes out; after a restart of all instances many ask for it."""
+        if self._packed[0] != self._mirror.revision:
+            self._packed = (self._mirror.revision, pack(self._mirror.snapshot()))
+        return self._packed[1]
 
     def _publish(self, batch: ChangeBatch) -> None:
-        for link in self._subscribers:
-            link.send(FeedChanges(batch))
+        if self._subscribers:
+            message = FeedChanges(pack(batch))
+            for link in self._subscribers:
+                link.send(message)
 
     def _beat(self) -> None:
-        self._beat_to(list(self._subscribers))
+        self._beat_to([*self._subscribers, *self._standbys])
 
     def _beat_to(self, subscribers: list[PeerLink]) -> None:
         age = time.monotonic() - self._mirror.current_at
@@ -176,17 +194,12 @@
             self._source_by_address.pop(address).cancel()
 
     def _wanted_sources(self) -> set[Address]:
-        """Return the addresses of the nearest readers, or of seeds while none is known.
-
-        A reader needs no source but the one through which its region's instances exchange loads.
-        """
+        """Return the addresses of the nearest readers, or of seeds while none is known."""
         own = self._instances.own
         readers = self._instances.store_readers(LEAST_READERS)
         others = [r for r in readers if r.identity.incarnation != own.identity.incarnation]
         if len(others) < len(readers):
-            first = next(r for r in readers if r.region == own.region)
-            is_first = first.identity.incarnation == own.identity.incarnation
-            return set() if is_first else {Address.parse(first.identity.peer_address)}
+            return set()
         if not others:
             if self._mirror.is_filled:
                 return set()
@@ -195,15 +208,6 @@
         others.sort(key=lambda r: self._region_distance(r.region))
         return {Address.parse(r.identity.peer_address) for r in others[:MAX_SOURCES]}
 
-    def _sources_in_region(self) -> list[PeerLink]:
-        records = self._instances.record_by_incarnation
-        return [
-            link
-            for link in self._link_by_source.values()
-            if (record := records.get(link.peer.incarnation)) is not None
-            and record.region == self._instances.own.region
-        ]
-
     async def _follow(self, address: Address) -> None:
         while True:
             try:
@@ -220,28 +224,57 @@
             except _LINK_ERRORS as error:
                 logger.info("the subscription to %s ended: %s", address, error)
             finally:
-                self._heard_by_source.pop(address, None)
                 self._link_by_source.pop(address, None)
                 link.abort()
+                self._sender_ended(link)
             await asyncio.sleep(REDIAL_SECONDS)
 
     async def _receive(self, address: Address, link: PeerLink) -> None:
-        link.send(FeedWanted(self._mirror.revision))
+        if self._sender is None:
+            self._take_changes_from(link)
+        else:
+            link.send(FeedWanted(self._mirror.revision, is_standby=True))
         while True:
             async with asyncio.timeout(LINK_SILENCE_SECONDS):
                 message = await link.receive()
             now = time.monotonic()
             if isinstance(message, FeedSnapshot):
-                self._mirror.replace(message.snapshot)
+                self._mirror.replace(unpack(message.packed, Snapshot))
             elif isinstance(message, FeedChanges):
-                if not self._mirror.apply(message.batch):
-                    link.send(FeedWanted(self._mirror.revision))
-            elif isinstance(message, FeedLoads):
-                self.on_loads(message.busy_by_target)
+                if not self._mirror.apply(unpack(message.packed, ChangeBatch)):
+                    link.send(FeedWanted(self._mirror.revision, is_standby=False))
             elif isinstance(message, FeedBeat):
                 age = message.age_ms / 1000
+                self._note_standby(link, message, now)
                 if age >= FRESH_SECONDS:
                     self._heard_by_source.pop(address, None)
                 elif message.revision <= self._mirror.revision:
                     self._heard_by_source[address] = now
                     self._mirror.confirmed(now, age)
+
+    def _take_changes_from(self, link: PeerLink) -> None:
+        """Let one source send the changes, and the one that did before only beats."""
+        if self._sender is not None:
+            self._sender.send(FeedWanted(self._mirror.revision, is_standby=True))
+        self._sender = link
+        self._behind_since = None
+        link.send(FeedWanted(self._mirror.revision, is_standby=False))
+
+    def _sender_ended(self, link: PeerLink) -> None:
+        if self._sender is link:
+            self._sender = None
+            for other in self._link_by_source.values():
+                self._take_changes_from(other)
+                return
+
+    def _note_standby(self, link: PeerLink, beat: FeedBeat, now: float) -> None:
+        """Change over to a standby source that has known more for a while."""
+        if link is self._sender:
+            return
+        if beat.revision <= self._mirror.revision:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since >= BEHIND_SECONDS:
+            logger.info("%s sends the changes from now on", link.peer.instance)
+            self._take_changes_from(link)
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import zlib
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -177,22 +178,24 @@
 class FeedWanted(_Message, frozen=True, tag=16):
     """Asks for what the receiver knows of the store, and for all that it learns from now on.
 
-    The sender has everything up to ``revision``; 0 asks for a whole copy.
+    The sender has everything up to ``revision``; 0 asks for a whole copy. On standby it asks for
+    beats only, since another instance sends it the changes.
     """
 
     revision: int
+    is_standby: bool
 
 
 class FeedSnapshot(_Message, frozen=True, tag=17):
-    """Carries a whole copy of the store's keys."""
+    """Carries a whole copy of the store's keys, packed by ``pack``."""
 
-    snapshot: Snapshot
+    packed: bytes
 
 
 class FeedChanges(_Message, frozen=True, tag=18):
-    """Carries changes of the store's keys."""
+    """Carries changes of the store's keys, packed by ``pack``."""
 
-    batch: ChangeBatch
+    packed: bytes
 
 
 class FeedBeat(_Message, frozen=True, tag=19):
@@ -202,12 +205,6 @@
     age_ms: int
 
 
-class FeedLoads(_Message, frozen=True, tag=20):
-    """Tells requests running and waiting at targets, by the hash of the target's id."""
-
-    busy_by_target: dict[int, int]
-
-
 Message = (
     Hello
     | Proof
@@ -228,9 +225,33 @@
     | FeedSnapshot
     | FeedChanges
     | FeedBeat
-    | FeedLoads
 )
 
+MAX_UNPACKED_BYTES = 64 << 20  # values of 1 MB and some ten thousand entries
+PackedT = TypeVar("PackedT", Snapshot, ChangeBatch)
+
+
+def pack(content: Snapshot | ChangeBatch) -> bytes:
+    """Encode and compress keys of the store, whose values are much alike."""
+    return zlib.compress(_encoder.encode(content), level=1)
+
+
+def unpack(packed: bytes, kind: type[PackedT]) -> PackedT:
+    """Undo ``pack``; raise ``msgspec.DecodeError`` for other bytes, or for too many.
+
+    >>> unpack(pack(Snapshot(7, [])), Snapshot)
+    Snapshot(revision=7, items=[])
+    """
+    unpacking = zlib.decompressobj()
+    try:
+        content = unpacking.decompress(packed, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise msgspec.DecodeError(f"packed bytes cannot be unpacked: {error}") from error
+    if unpacking.unconsumed_tail:
+        raise msgspec.DecodeError(f"packed bytes exceed {MAX_UNPACKED_BYTES} when unpacked")
+    return msgspec.msgpack.decode(content, type=kind)
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(Message)
 
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.pool import ConnectionPool
 from cassiashore._internal.routing.health import TargetHealth
 from cassiashore._internal.steering.load import TargetLoad
-from cassiashore._internal.steering.load_exchange import target_hash
 
 logger = logging.getLogger(__name__)
 
@@ -99,7 +98,6 @@
         self._make_pool = make_pool
         self._monotonic = monotonic
         self._id_by_address: dict[Address, str] = {}
-        self._target_by_hash: dict[int, RegisteredTarget] = {}
         self._last_report_by_id: dict[str, TargetReport] = {}
 
     def apply(self, report: TargetReport) -> bool:
@@ -126,7 +124,6 @@
         if target is None:
             return
         target.is_gone = True
-        self._target_by_hash.pop(target_hash(target_id), None)
         peers = self.targets_by_service[target.report.service]
         peers.remove(target)
         if self._id_by_address.get(target.report.address) == target_id:
@@ -153,14 +150,6 @@
         """Take in that a target is cold for some more seconds."""
         target.cold_until = max(target.cold_until, self._monotonic() + seconds)
 
-    def note_loads(self, busy_by_target: Mapping[int, int]) -> None:
-        """Take in what other instances heard of the load of targets, by the hash of the id."""
-        now = self._monotonic()
-        for hashed, busy in busy_by_target.items():
-            target = self._target_by_hash.get(hashed)
-            if target is not None:
-                target.load.report(busy, now)
-
     def usable(self, service: str) -> list[RegisteredTarget]:
         """Return the targets of a service that take new work.
 
@@ -214,7 +203,6 @@
         if report.cold_seconds > 0:
             self.note_cold(target, report.cold_seconds + COLD_MARGIN_SECONDS)
         self.target_by_id[report.target_id] = target
-        self._target_by_hash[target_hash(report.target_id)] = target
         self.targets_by_service.setdefault(report.service, []).append(target)
         self._id_by_address[report.address] = report.target_id
         self._changed("added", target)
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -153,8 +153,6 @@
             is_seed,
             self._rng,
         )
-        self.relay.on_loads = self.registry.note_loads
-        self.forwarder.on_load = self.relay.loads.heard
         self.relay.is_failing = lambda: self.follower.is_failing
         self._probe = DistanceProbe(self.instances, self.distances, self._rng)
 
@@ -193,7 +191,6 @@
         for work in (
             self.follower.run(),
             self.relay.run(),
-            self.relay.run_loads(),
             self.registration.run(),
             self._probe.run(),
             self._register_when_ready(),
