--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -37,6 +37,7 @@
         """Create a registration that wants nothing written yet."""
         self.wanted_by_key: dict[str, bytes] = {}
         self.is_registered = False
+        self.retry_seconds = FIRST_RETRY_SECONDS
         self._store = store
         self._mirror = mirror
         self._lease_seconds = lease_seconds
@@ -56,14 +57,13 @@
 
     async def run(self) -> None:
         """Write, renew and write again what was lost, until cancelled."""
-        retry = FIRST_RETRY_SECONDS
         while True:
             if await self._step():
-                retry = FIRST_RETRY_SECONDS
+                self.retry_seconds = FIRST_RETRY_SECONDS
                 await self._pause(STEP_SECONDS)
             else:
-                await asyncio.sleep(retry)
-                retry = min(MAX_RETRY_SECONDS, retry * 2)
+                await asyncio.sleep(self.retry_seconds)
+                self.retry_seconds = min(MAX_RETRY_SECONDS, self.retry_seconds * 2)
 
     async def withdraw(self) -> None:
         """Remove the keys by ending the lease, once and without waiting long."""
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -6,6 +6,9 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import msgspec
+
+from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.standin import StandinStore
@@ -211,3 +214,54 @@
             assert node.registry.region_by_failure_domain["new"] == "erie"
 
     run(test)
+
+
+def test_what_a_region_decided_outlasts_all_its_instances(tmp_path: Path) -> None:
+    """After a loss of power the targets still keep the objects of the keys that they had."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        key = "cassiashore/balance/erie"
+        async with running_node(tmp_path, settings(address)) as node:
+            await node._publish_balance({"stock": 0.5})
+            await until(lambda: node.balance.share("stock") == 0.5)
+            await node._publish_balance(node.balance.decisions_with({"orders": 0.7}))
+        assert store.item_by_key[key].lease == 0
+        async with running_node(tmp_path, settings(address, "front-2")) as later:
+            await until(lambda: later.balance.share("orders") == 0.7)
+            assert later.balance.share("stock") == 0.5
+
+    run(test)
+
+
+def test_a_target_that_loses_many_connections_costs_few_writes(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            key = f"cassiashore/crashes/{node.instances.own_incarnation}"
+            before = node.store.calls_by_kind["txn"]
+            for number in range(40):
+                node.poison.record_crash(number, "i-1")
+                for _ in range(10):
+                    await asyncio.sleep(0)
+            await until(
+                lambda: key in store.item_by_key
+                and len(msgspec.msgpack.decode(store.item_by_key[key].value)) == 40
+            )
+            assert node.store.calls_by_kind["txn"] - before <= 3
+
+    run(test)
+
+
+def test_a_store_that_refuses_is_asked_less_and_less_often(tmp_path: Path) -> None:
+    """Refused calls cost as much as answered ones."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            store.faults.is_down = True
+            await until(lambda: node.registration.retry_seconds == MAX_RETRY_SECONDS)
+            store.faults.is_down = False
+            await until(lambda: node.registration.retry_seconds == FIRST_RETRY_SECONDS)
+
+    run(test)
