--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 import random
+import signal
 import subprocess
 import sys
+import threading
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -25,6 +27,7 @@
 END_SECONDS = 3.0
 FAULTS_PER_SECOND = 0.5
 MAX_LISTED = 10
+MAX_ERROR_CHARACTERS = 2000
 
 
 async def _soak(
@@ -34,6 +37,10 @@
     count = max(2, int(seconds * FAULTS_PER_SECOND))
     names = sorted(fault_by_name)
     plan = sorted((rng.uniform(0.5, seconds), rng.choice(names)) for _ in range(count))
+    this = asyncio.current_task()
+    assert this is not None
+    # Ends the instances, too, which would go on without their store and targets.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
     world = World(folder, rng, per_domain)
     judge = Judge(world, timed)
     try:
@@ -121,16 +128,29 @@
         logs: Folder that keeps the logs of each seed.
     """
 
+    running: list[subprocess.Popen[str]] = []
+    is_stopping = threading.Event()
+
     def run(seed: int) -> tuple[int, str]:
+        if is_stopping.is_set():
+            return 1, "not run"
         command = [sys.executable, "-m", "lab.soak", "one", str(seed), f"--seconds={seconds}"]
         command.append(f"--logs={logs}/seed-{seed}")
-        done = subprocess.run(command, capture_output=True, text=True)
-        return done.returncode, done.stdout or done.stderr[-2000:]
-
+        pipe = subprocess.PIPE
+        process = subprocess.Popen(command, stdout=pipe, stderr=pipe, text=True)
+        running.append(process)
+        output, errors = process.communicate()
+        print(output or errors[-MAX_ERROR_CHARACTERS:], end="", flush=True)
+        return process.returncode, output
+
+    def stop(number: int, frame: object) -> None:
+        is_stopping.set()
+        for process in running:
+            process.terminate()
+
+    signal.signal(signal.SIGTERM, stop)
     with ThreadPoolExecutor(jobs) as pool:
         outcomes = list(pool.map(run, _seeds(seeds)))
-    for _, output in outcomes:
-        print(output, end="")
     failed = sum(code != 0 for code, _ in outcomes)
     print(f"{len(outcomes)} seeds, {failed} with a broken promise or a failed run")
     if failed:
