Let the number of instances that carry callers follow the load that they tell

Cause: three carriers of a failure domain suffice for the deployments at hand, but not for ten times the callers on as many machines; callers choose among the named ones at random, so a small one is pressed first. Change: each instance tells its requests a second in steps of 1.5 under its lease; carriers are added, by capacity from processor and link, until none has more than 0.7 of what it can carry. Tests replay 50 instances with up to 50,000 requests a second, pressed instances, and a wave of callers.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -111,6 +111,7 @@
         """Keep the parts; ``table`` is set when a configuration is in force."""
         self.table: RouteTable | None = None
         self.refuses_new = False
+        self.requests = 0
         self._edge = edge
         self._registry = registry
         self._placement = placement
@@ -136,6 +137,7 @@
 
     async def handle(self, request: IngressRequest, responder: Responder) -> None:
         """Answer one request."""
+        self.requests += 1
         table = self.table
         if table is None:
             failure = Failure.not_run(Reason.NOT_READY, "no configuration is in force yet")
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -16,7 +17,7 @@
 
 
 class InstanceRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What an instance registers. ``capacity`` is its share of cores, for dividing callers."""
+    """What an instance registers. ``capacity`` is the requests a second that it can carry."""
 
     identity: Identity
     region: str
@@ -40,8 +41,27 @@
         self.own = own
         self.record_by_incarnation: dict[str, InstanceRecord] = {}
         self.on_change: Callable[[str, str], None] = lambda what, incarnation: None
+        self._load_by_incarnation: dict[str, float] = {}
         self._candidates: list[Candidate] | None = None
 
+    def load_changed(self, incarnation: str, value: bytes | None) -> None:
+        """Take in the requests a second that an instance tells, or that it tells none."""
+        self._candidates = None
+        self._load_by_incarnation.pop(incarnation, None)
+        if value is None:
+            return
+        try:
+            load = msgspec.msgpack.decode(value, type=float)
+        except msgspec.DecodeError as error:
+            logger.warning('load of instance "%s" ignored: %s', incarnation, error)
+            return
+        if math.isfinite(load) and load > 0:
+            self._load_by_incarnation[incarnation] = load
+
+    def load_of(self, incarnation: str) -> float:
+        """Return the requests a second that an instance told last."""
+        return self._load_by_incarnation.get(incarnation, 0.0)
+
     def changed(self, incarnation: str, value: bytes | None) -> None:
         """Take in a change of a registration."""
         self._candidates = None
@@ -84,6 +104,7 @@
                     record.region,
                     record.identity.address,
                     record.capacity,
+                    self.load_of(incarnation),
                 )
                 for incarnation, record in by_incarnation.items()
             )
--- a/src/cassiashore/_internal/steering/carriers.py
+++ b/src/cassiashore/_internal/steering/carriers.py
@@ -6,21 +6,31 @@
 cold target tolerates must be divided among many. Concentrated on the few instances with the most
 room, the same requests find open connections and fresh reports.
 
-The choice follows from the registered instances alone, so all instances agree on it.
+With more callers, more instances carry them. Callers choose among the named instances at random,
+so the smallest one bounds what the others can take. The choice follows from what instances
+register, so all of them agree on it.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import Protocol, TypeVar
 
 from cassiashore._internal.models.hashing import hash64
 
 LEAST_CARRIERS = 3  # of a failure domain: one may end and one be replaced at the same time
+UTILISATION = 0.7  # of a carrier; above it requests wait for the processor
+REQUESTS_PER_CORE_SECOND = 700.0  # processor time of a request on the users' machines: 1 to 1.4 ms
+BYTES_PER_REQUEST = 4000.0  # on a link in one direction: the request and its answer, with headers
+LEAST_LOAD = 10.0  # requests a second, below which an instance tells no load
+LOAD_STEP = 1.5  # ratio of neighbouring loads that are told: each is a write to the store
+BITS_PER_MEGABIT = 1e6
+BITS_PER_BYTE = 8
 
 
 class Entry(Protocol):
-    """What the choice goes by."""
+    """What the choice goes by: requests a second that an instance can carry, and that it has."""
 
     @property
     def address(self) -> str:
@@ -34,14 +44,47 @@
     def capacity(self) -> float:
         """Return the requests a second that the instance can carry."""
 
+    @property
+    def load(self) -> float:
+        """Return the requests a second that the instance told."""
+
 
 E = TypeVar("E", bound=Entry)
 
 
+def capacity_of(cores: float, link_mbps: float) -> float:
+    """Return the requests a second that a machine can carry; a link of 0 is not known.
+
+    >>> capacity_of(0.5, 0.0), capacity_of(2.0, 8.0)
+    (350.0, 250.0)
+    """
+    by_processor = cores * REQUESTS_PER_CORE_SECOND
+    if link_mbps <= 0:
+        return by_processor
+    return min(by_processor, link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE / BYTES_PER_REQUEST)
+
+
+def told_load(measured: float, told: float) -> float:
+    """Return the load to tell, which changes only when the measured one left its step.
+
+    >>> told_load(4.0, 0.0), told_load(12.0, 0.0), told_load(14.0, 15.0), told_load(6.0, 15.0)
+    (0.0, 15.0, 15.0, 0.0)
+    """
+    if told / LOAD_STEP**2 <= measured <= told:
+        return told
+    if measured < LEAST_LOAD:
+        return 0.0
+    return LEAST_LOAD * LOAD_STEP ** math.ceil(math.log(measured / LEAST_LOAD, LOAD_STEP))
+
+
 def carriers_of(entries: Sequence[E]) -> list[E]:
     """Return the entries of one failure domain that take its callers, the largest first."""
     ordered = sorted(entries, key=lambda e: (-e.capacity, hash64(e.address)))
-    return ordered[:LEAST_CARRIERS]
+    load = sum(entry.load for entry in entries)
+    count = LEAST_CARRIERS
+    while count < len(ordered) and count * ordered[count - 1].capacity * UTILISATION < load:
+        count += 1
+    return ordered[:count]
 
 
 def all_carriers(entries: Iterable[E]) -> list[E]:
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -30,6 +30,7 @@
     region: str
     address: str = ""
     capacity: float = 1.0
+    load: float = 0.0
 
 
 def senders_to(
--- a/src/cassiashore/_internal/steering/directory.py
+++ b/src/cassiashore/_internal/steering/directory.py
@@ -20,6 +20,7 @@
     failure_domain: str
     region: str
     capacity: float = 1.0
+    load: float = 0.0
 
 
 def entrances_for(
--- a/src/cassiashore/platform/changes.py
+++ b/src/cassiashore/platform/changes.py
@@ -24,6 +24,7 @@
     CRASH_PREFIX,
     EVACUATION_PREFIX,
     INSTANCE_PREFIX,
+    LOAD_PREFIX,
     TARGET_PREFIX,
 )
 
@@ -60,6 +61,7 @@
         mirror.listen(TARGET_PREFIX, self._target_changed)
         mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
         mirror.listen(INSTANCE_PREFIX, instances.changed)
+        mirror.listen(LOAD_PREFIX, instances.load_changed)
         mirror.listen(BALANCE_PREFIX, self._balance_changed)
         mirror.listen(CRASH_PREFIX, self._crashes_changed)
         mirror.on_doubt = self._doubted
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -27,6 +27,7 @@
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.requests.poison import PoisonRegistry
 from cassiashore._internal.steering.balance import STEP_SECONDS, RegionBalance
+from cassiashore._internal.steering.carriers import capacity_of, told_load
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.directory import Entrance, entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
@@ -45,6 +46,7 @@
     CRASH_PREFIX,
     EDGE_HEADERS,
     INSTANCE_PREFIX,
+    LOAD_PREFIX,
 )
 
 logger = logging.getLogger(__name__)
@@ -56,6 +58,7 @@
 CONNECTIONS_PER_TARGET = 64  # of one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_SECONDS = 5.0
+LOAD_SECONDS = 2.0  # callers keep the directory's answer about as long
 CRASH_REPORT_SECONDS = 1.0  # well within stable-window; each report is a write to the store
 REFUSE_AFTER_SHARE = 0.45  # of the grace period: requests that come later could be cut off
 END_SHARE = 0.93  # of the grace period; the process ends before it is killed
@@ -91,7 +94,8 @@
             listen.front or "",
             listen.control or f"{_host_of(settings)}:{settings.network.internal_ports[0]}",
         )
-        capacity = machine.limits.cpu_share * machine.limits.cores
+        limits = machine.limits
+        capacity = capacity_of(limits.cpu_share * limits.cores, limits.link_mbps)
         self.own = InstanceRecord(identity, machine.region, capacity)
         self._decisions = DecisionLog()
         self._metrics = Metrics()
@@ -198,6 +202,7 @@
             self._maintain(),
             self._balance_regions(),
             self._publish_crashes(),
+            self._tell_load(),
         ):
             self.tasks.spawn(work)
         await self._wait_for_configuration()
@@ -286,6 +291,19 @@
             outcome="published" if isinstance(outcome, Ok) else str(outcome.err_value),
         )
 
+    async def _tell_load(self) -> None:
+        """Tell the requests a second that come here, in steps, for the choice of carriers."""
+        key = LOAD_PREFIX + self.instances.own_incarnation
+        told, before = 0.0, 0
+        while True:
+            await asyncio.sleep(LOAD_SECONDS)
+            load = told_load((self.forwarder.requests - before) / LOAD_SECONDS, told)
+            before = self.forwarder.requests
+            if load != told and not self._is_stopping:
+                told = load
+                self._decisions.write("load", requests_per_s=round(load, 1))
+                self.registration.put(key, msgspec.msgpack.encode(load) if load else None)
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
@@ -326,7 +344,13 @@
         if table is None:
             return []
         entrances = [
-            Entrance(r.identity.address, r.identity.failure_domain, r.region, r.capacity)
+            Entrance(
+                r.identity.address,
+                r.identity.failure_domain,
+                r.region,
+                r.capacity,
+                self.instances.load_of(r.identity.incarnation),
+            )
             for r in self.instances.records()
             if not (self._is_stopping and r.identity.incarnation == self.instances.own_incarnation)
         ]
--- a/src/cassiashore/platform/wire.py
+++ b/src/cassiashore/platform/wire.py
@@ -25,5 +25,6 @@
 
 # Keys of this system's own; the platform does not look into them.
 INSTANCE_PREFIX = "cassiashore/instances/"
+LOAD_PREFIX = "cassiashore/load/"
 BALANCE_PREFIX = "cassiashore/balance/"
 CRASH_PREFIX = "cassiashore/crashes/"
--- a/tests/unit/test_carriers.py
+++ b/tests/unit/test_carriers.py
@@ -2,24 +2,33 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
 
-from cassiashore._internal.steering.carriers import LEAST_CARRIERS, all_carriers, carriers_of
+from cassiashore._internal.steering.carriers import (
+    LEAST_CARRIERS,
+    UTILISATION,
+    all_carriers,
+    carriers_of,
+    told_load,
+)
 from cassiashore._internal.steering.directory import Entrance, entrances_for
 
 NO_HOMES: frozenset[str] = frozenset()
 
 
-def entrance(number: int, domain: str = "erie-a", capacity: float = 1.0) -> Entrance:
-    return Entrance(f"10.1.0.{number}:8641", domain, domain.split("-")[0], capacity)
+def entrance(
+    number: int, domain: str = "erie-a", capacity: float = 300.0, load: float = 0.0
+) -> Entrance:
+    return Entrance(f"10.1.0.{number}:8641", domain, domain.split("-")[0], capacity, load)
 
 
 def test_few_instances_carry_the_callers_of_a_domain_and_the_largest_come_first() -> None:
     """Sixty small instances see too little each to reuse connections or to know the load."""
-    many = [entrance(n, capacity=0.43) for n in range(60)]
-    large = [entrance(200 + n, capacity=2.15) for n in range(2)]
+    many = [entrance(n, capacity=300.0) for n in range(60)]
+    large = [entrance(200 + n, capacity=1500.0) for n in range(2)]
     carriers = carriers_of([*many, *large])
     assert len(carriers) == LEAST_CARRIERS
     assert set(large) < set(carriers)
@@ -46,6 +55,42 @@
     assert sum(c.failure_domain == "huron-a" for c in carriers) == LEAST_CARRIERS
 
 
+@pytest.mark.parametrize("load", [100.0, 700.0, 3_000.0, 50_000.0])
+def test_no_carrier_has_more_than_it_can_carry_unless_all_carry(load: float) -> None:
+    """A deployment with ten times the callers must not press them through three instances."""
+    entries = [entrance(n, load=load / 50) for n in range(50)]
+    carriers = carriers_of(entries)
+    each = load / len(carriers)
+    assert each <= UTILISATION * 300.0 or len(carriers) == len(entries)
+    assert len(carriers) == LEAST_CARRIERS or load / (len(carriers) - 1) > UTILISATION * 300.0
+
+
+def test_carriers_follow_the_load_until_none_is_pressed() -> None:
+    """An instance that is pressed shows no more than it can do; the next round adds others."""
+    demand, capacity = 2_000.0, 300.0
+    told = {number: 0.0 for number in range(30)}
+    for _ in range(6):
+        carriers = carriers_of([entrance(n, load=told[n]) for n in told])
+        share = min(demand / len(carriers), capacity * 1.1)
+        used = {carrier.address for carrier in carriers}
+        for number in told:
+            measured = share if entrance(number).address in used else 0.0
+            told[number] = told_load(measured, told[number])
+    assert demand / len(carriers) <= capacity * UTILISATION
+    assert len(carriers) < len(told)
+
+
+def test_a_wave_of_callers_costs_few_writes() -> None:
+    told, writes = 0.0, 0
+    for second in range(0, 72, 2):
+        measured = 130.0 * (1 + 0.55 * math.sin(second / 36 * 2 * math.pi))
+        load = told_load(measured, told)
+        writes += load != told
+        told = load
+        assert told >= measured
+    assert writes <= 12
+
+
 def test_a_caller_is_told_the_carriers_of_its_domain() -> None:
     entries = [entrance(n) for n in range(20)] + [entrance(n, "erie-b") for n in range(20, 40)]
     told = entrances_for("erie", "erie-a", NO_HOMES, entries, lambda r: 0.0, random.Random(1))
