--- a/tests/lib/ingress.py
+++ b/tests/lib/ingress.py
@@ -20,7 +20,7 @@
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import IngressLimits, RouteTable
 from cassiashore.platform.wire import EDGE_HEADERS
-from tests.lib.steering_builders import registry
+from tests.lib.steering_builders import FakeTarget, Serve, registry, report
 
 SOON = 5.0  # bounds a wait of a test; nothing is asserted about time
 
@@ -135,3 +135,12 @@
     assert server._server is not None
     address = server._server.sockets[0].getsockname()
     return Ingress(server, forwarder, targets, poison, address)
+
+
+async def with_targets(ingress: Ingress, *serves: Serve) -> list[FakeTarget]:
+    targets = []
+    for number, serve in enumerate(serves):
+        target = await FakeTarget(serve).start()
+        ingress.registry.apply(report(f"t-{number}", address=target.address))
+        targets.append(target)
+    return targets
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -9,8 +9,8 @@
 import uvloop
 
 from cassiashore._internal.steering.routes import IngressLimits, RequestKind
-from tests.lib.ingress import Ingress, request, start_ingress
-from tests.lib.steering_builders import FakeTarget, Serve, answer, header_of, report, route, table
+from tests.lib.ingress import request, start_ingress, with_targets
+from tests.lib.steering_builders import FakeTarget, Serve, answer, header_of, route, table
 
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
 
@@ -23,15 +23,6 @@
     writer.write(answer(head))
 
 
-async def with_targets(ingress: Ingress, *serves: Serve) -> list[FakeTarget]:
-    targets = []
-    for number, serve in enumerate(serves):
-        target = await FakeTarget(serve).start()
-        ingress.registry.apply(report(f"t-{number}", address=target.address))
-        targets.append(target)
-    return targets
-
-
 def sends(targets: list[FakeTarget]) -> int:
     return sum(len(target.heads) for target in targets)
 
--- a/tests/unit/test_specifications.py
+++ b/tests/unit/test_specifications.py
@@ -15,7 +15,7 @@
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.requests.ledger import KeyLedger, Known, Started
 from cassiashore._internal.steering.registry import TargetRegistry
-from spec import activation, claims, mirror, registrations, rights, tickets
+from spec import activation, claims, cold_senders, mirror, registrations, rights, tickets
 from tests.lib import builders, steering_builders
 
 REFUTATION_STATES = 30_000
@@ -25,6 +25,7 @@
     (activation, activation.ActivationVariant),
     (mirror, mirror.MirrorVariant),
     (registrations, registrations.RegistryVariant),
+    (cold_senders, cold_senders.ColdVariant),
 ]
 RIGHTS_REFUTED_BY = {
     "agree_while_holding": "two instances, crashes and pauses",
