Choose carriers once for each change of the instances, not for each directory answer

Cause: every directory answer built and sorted the list of all instances: 183 answers a core-second with 1,600 instances, of 1,063 that an instance has to give at the target size. Change: the table of instances keeps the chosen carriers until something changes. One type describes an instance for these choices; there were two with the same fields.

--- a/lab/feed.py
+++ b/lab/feed.py
@@ -1,4 +1,4 @@
-"""Size and processor time of what instances pass on of the store: ``scripts/bench feed``."""
+"""What instances pass on of the store, and directory answers from it: ``scripts/bench feed``."""
 
 from __future__ import annotations
 
@@ -7,12 +7,17 @@
 import time
 
 from cassiashore._internal.cli.output import table
-from cassiashore._internal.peers.messages import pack, unpack
+from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
+from cassiashore._internal.peers.messages import Identity, pack, unpack
+from cassiashore._internal.steering.directory import entrances_for
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 
 KEYS = (52, 278, 672, 5000)  # entries of the deployments at hand, and of a larger one
 ROUNDS = 20
 FIRST_REVISION = 100
+INSTANCES, DOMAINS, REGIONS = 1600, 56, 15  # the target size
+ANSWERS = 20_000
+ANSWERS_PER_CHANGE = 100  # an instance that starts, ends or tells another load, each tenth second
 
 
 def _entry(number: int, rng: random.Random) -> Change:
@@ -31,8 +36,33 @@
     return round(seconds / ROUNDS * 1000, 2)
 
 
+def _directory_answers() -> float:
+    """Return directory answers a second with the instances of the target size."""
+    rng = random.Random(2)
+    identities = [
+        Identity(f"i{n}", f"run-{n}", f"d{n % DOMAINS}", f"10.0.{n % 250}.1:{8000 + n}", "")
+        for n in range(INSTANCES)
+    ]
+    records = [
+        InstanceRecord(identity, f"r{n % DOMAINS % REGIONS}", 600.0)
+        for n, identity in enumerate(identities)
+    ]
+    instances = InstanceTable(records[0])
+    for record in records:
+        instances.changed(record.identity.incarnation, encode_record(record))
+    begun = time.process_time()
+    for number in range(ANSWERS):
+        if number % ANSWERS_PER_CHANGE == 0:
+            instances.load_changed("run-1", None)
+        domain = number % DOMAINS
+        carriers = instances.entrances(without_own=False)
+        region = f"r{domain % REGIONS}"
+        entrances_for(region, f"d{domain}", frozenset(), carriers, lambda name: 0.0, rng)
+    return ANSWERS / (time.process_time() - begun)
+
+
 def main() -> None:
-    """Print a row for a copy of each size, and the size of a batch of two changes."""
+    """Print a row for a copy of each size, the size of two changes, and directory answers."""
     rng = random.Random(1)
     rows = []
     for count in KEYS:
@@ -51,6 +81,7 @@
     print(table(["keys", "bytes", "bytes a key", "pack ms", "unpack ms"], rows))
     batch = ChangeBatch(1, 2, [_entry(number, rng) for number in range(2)])
     print(f"two changes: {len(pack(batch))} bytes")
+    print(f"directory answers with {INSTANCES} instances: {_directory_answers():.0f} a core-second")
 
 
 if __name__ == "__main__":
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -4,14 +4,13 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
 from cassiashore._internal.models.hashing import hash64
 from cassiashore._internal.peers.messages import Identity
-from cassiashore._internal.steering.carriers import all_carriers
-from cassiashore._internal.steering.cold import Candidate
+from cassiashore._internal.steering.carriers import InstanceInfo, all_carriers
 
 logger = logging.getLogger(__name__)
 
@@ -42,11 +41,11 @@
         self.record_by_incarnation: dict[str, InstanceRecord] = {}
         self.on_change: Callable[[str, str], None] = lambda what, incarnation: None
         self._load_by_incarnation: dict[str, float] = {}
-        self._candidates: list[Candidate] | None = None
+        self._carriers_by_purpose: dict[str, list[InstanceInfo]] = {}
 
     def load_changed(self, incarnation: str, value: bytes | None) -> None:
         """Take in the requests a second that an instance tells, or that it tells none."""
-        self._candidates = None
+        self._carriers_by_purpose.clear()
         self._load_by_incarnation.pop(incarnation, None)
         if value is None:
             return
@@ -64,7 +63,7 @@
 
     def changed(self, incarnation: str, value: bytes | None) -> None:
         """Take in a change of a registration."""
-        self._candidates = None
+        self._carriers_by_purpose.clear()
         if value is None:
             if self.record_by_incarnation.pop(incarnation, None) is not None:
                 self.on_change("gone", incarnation)
@@ -92,13 +91,30 @@
         registered = len(self.record_by_incarnation)
         return registered + (self.own_incarnation not in self.record_by_incarnation)
 
-    def candidates(self) -> list[Candidate]:
-        """Return the instances that carry callers, for choices that must be alike everywhere."""
-        if self._candidates is None:
-            by_incarnation = dict(self.record_by_incarnation)
-            by_incarnation.setdefault(self.own_incarnation, self.own)
-            self._candidates = all_carriers(
-                Candidate(
+    def senders(self) -> list[InstanceInfo]:
+        """Return the instances that carry callers, with the own one counted as registered.
+
+        The list stays the same object until something changes.
+        """
+        by_incarnation = {self.own_incarnation: self.own, **self.record_by_incarnation}
+        return self._carriers("senders", by_incarnation)
+
+    def entrances(self, *, without_own: bool) -> list[InstanceInfo]:
+        """Return the registered instances that carry callers."""
+        by_incarnation = self.record_by_incarnation
+        if without_own:
+            own = self.own_incarnation
+            by_incarnation = {i: r for i, r in by_incarnation.items() if i != own}
+            return self._carriers("entrances without own", by_incarnation)
+        return self._carriers("entrances", by_incarnation)
+
+    def _carriers(
+        self, purpose: str, by_incarnation: Mapping[str, InstanceRecord]
+    ) -> list[InstanceInfo]:
+        known = self._carriers_by_purpose.get(purpose)
+        if known is None:
+            known = all_carriers(
+                InstanceInfo(
                     incarnation,
                     record.identity.failure_domain,
                     record.region,
@@ -108,7 +124,8 @@
                 )
                 for incarnation, record in by_incarnation.items()
             )
-        return self._candidates
+            self._carriers_by_purpose[purpose] = known
+        return known
 
     def decides_for_region(self) -> bool:
         """Tell whether this is the instance that decides for its region."""
--- a/src/cassiashore/_internal/steering/carriers.py
+++ b/src/cassiashore/_internal/steering/carriers.py
@@ -15,7 +15,7 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from typing import Protocol, TypeVar
+from dataclasses import dataclass
 
 from cassiashore._internal.models.hashing import hash64
 
@@ -29,27 +29,20 @@
 BITS_PER_BYTE = 8
 
 
-class Entry(Protocol):
-    """What the choice goes by: requests a second that an instance can carry, and that it has."""
-
-    @property
-    def address(self) -> str:
-        """Return where callers connect, which is the same after a restart."""
-
-    @property
-    def failure_domain(self) -> str:
-        """Return the failure domain."""
-
-    @property
-    def capacity(self) -> float:
-        """Return the requests a second that the instance can carry."""
-
-    @property
-    def load(self) -> float:
-        """Return the requests a second that the instance told."""
+@dataclass(frozen=True, slots=True)
+class InstanceInfo:
+    """What choices among instances go by.
 
+    ``address`` is where callers connect, which is the same after a restart. ``capacity`` is the
+    requests a second that the instance can carry, ``load`` those that it told to have.
+    """
 
-E = TypeVar("E", bound=Entry)
+    incarnation: str
+    failure_domain: str
+    region: str
+    address: str = ""
+    capacity: float = 1.0
+    load: float = 0.0
 
 
 def capacity_of(cores: float, link_mbps: float) -> float:
@@ -77,19 +70,19 @@
     return LEAST_LOAD * LOAD_STEP ** math.ceil(math.log(measured / LEAST_LOAD, LOAD_STEP))
 
 
-def carriers_of(entries: Sequence[E]) -> list[E]:
-    """Return the entries of one failure domain that take its callers, the largest first."""
-    ordered = sorted(entries, key=lambda e: (-e.capacity, hash64(e.address)))
-    load = sum(entry.load for entry in entries)
+def carriers_of(instances: Sequence[InstanceInfo]) -> list[InstanceInfo]:
+    """Return the instances of a failure domain that take its callers, the largest first."""
+    ordered = sorted(instances, key=lambda i: (-i.capacity, hash64(i.address)))
+    load = sum(instance.load for instance in instances)
     count = LEAST_CARRIERS
     while count < len(ordered) and count * ordered[count - 1].capacity * UTILISATION < load:
         count += 1
     return ordered[:count]
 
 
-def all_carriers(entries: Iterable[E]) -> list[E]:
+def all_carriers(instances: Iterable[InstanceInfo]) -> list[InstanceInfo]:
     """Return the carriers of each failure domain."""
-    by_domain: dict[str, list[E]] = {}
-    for entry in entries:
-        by_domain.setdefault(entry.failure_domain, []).append(entry)
+    by_domain: dict[str, list[InstanceInfo]] = {}
+    for instance in instances:
+        by_domain.setdefault(instance.failure_domain, []).append(instance)
     return [carrier for members in by_domain.values() for carrier in carriers_of(members)]
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -11,38 +11,26 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from cassiashore._internal.admission.window import SlidingWindow
 from cassiashore._internal.models.hashing import hash64
+from cassiashore._internal.steering.carriers import InstanceInfo
 
 WINDOW_SECONDS = 1.15  # one second, and the spread of travel times that can press two windows
 MAX_SENDERS = 4
 OVERLAPPING_SETS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """An instance that may be chosen to send to cold targets."""
-
-    incarnation: str
-    failure_domain: str
-    region: str
-    address: str = ""
-    capacity: float = 1.0
-    load: float = 0.0
-
-
 def senders_to(
-    target_id: str, failure_domain: str, region: str, instances: Sequence[Candidate], count: int
+    target_id: str, failure_domain: str, region: str, instances: Sequence[InstanceInfo], count: int
 ) -> list[str]:
     """Return the instances that may send to a cold target, nearest first, then by hash."""
 
-    def order(candidate: Candidate) -> tuple[bool, bool, int]:
+    def order(instance: InstanceInfo) -> tuple[bool, bool, int]:
         return (
-            candidate.failure_domain != failure_domain,
-            candidate.region != region,
-            hash64(f"{target_id}\n{candidate.incarnation}"),
+            instance.failure_domain != failure_domain,
+            instance.region != region,
+            hash64(f"{target_id}\n{instance.incarnation}"),
         )
 
     return [c.incarnation for c in sorted(instances, key=order)[:count]]
@@ -54,7 +42,7 @@
     def __init__(
         self,
         own_incarnation: str,
-        instances: Callable[[], Sequence[Candidate]],
+        instances: Callable[[], Sequence[InstanceInfo]],
         monotonic: Callable[[], float],
         overshoot: float,
         slack: float,
@@ -66,7 +54,7 @@
         self._overshoot = overshoot
         self._slack = slack
         self._window_by_target: dict[str, SlidingWindow] = {}
-        self._senders_by_target: dict[str, tuple[Sequence[Candidate], list[str]]] = {}
+        self._senders_by_target: dict[str, tuple[Sequence[InstanceInfo], list[str]]] = {}
 
     def allowance(self, target_id: str, failure_domain: str, region: str, cold_rate: float) -> int:
         """Return how many requests this instance may send to a cold target in any second."""
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -29,7 +29,7 @@
 from cassiashore._internal.steering.balance import STEP_SECONDS, RegionBalance
 from cassiashore._internal.steering.carriers import capacity_of, told_load
 from cassiashore._internal.steering.cold import ColdAdmission
-from cassiashore._internal.steering.directory import Entrance, entrances_for
+from cassiashore._internal.steering.directory import entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.placement import Placement
 from cassiashore._internal.steering.registry import TargetRegistry
@@ -120,7 +120,7 @@
         bounds = settings.terms.bounds
         self.cold = ColdAdmission(
             self.instances.own_incarnation,
-            self.instances.candidates,
+            self.instances.senders,
             time.monotonic,
             bounds.cold_overshoot,
             bounds.cold_slack,
@@ -343,20 +343,10 @@
         table = self.forwarder.table
         if table is None:
             return []
-        entrances = [
-            Entrance(
-                r.identity.address,
-                r.identity.failure_domain,
-                r.region,
-                r.capacity,
-                self.instances.load_of(r.identity.incarnation),
-            )
-            for r in self.instances.records()
-            if not (self._is_stopping and r.identity.incarnation == self.instances.own_incarnation)
-        ]
         homes = table.home_regions_of(host)
+        carriers = self.instances.entrances(without_own=self._is_stopping)
         found = entrances_for(
-            region, failure_domain, homes, entrances, self.distances.round_trip, self._rng
+            region, failure_domain, homes, carriers, self.distances.round_trip, self._rng
         )
         return [entrance.address for entrance in found]
 
--- a/tests/lib/ingress.py
+++ b/tests/lib/ingress.py
@@ -13,7 +13,8 @@
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.requests.poison import PoisonRegistry
 from cassiashore._internal.steering.balance import RegionBalance
-from cassiashore._internal.steering.cold import Candidate, ColdAdmission
+from cassiashore._internal.steering.carriers import InstanceInfo
+from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.placement import Placement
 from cassiashore._internal.steering.registry import TargetRegistry
@@ -113,7 +114,7 @@
     placement = Placement(targets, distances, RegionBalance("erie"), "erie", monotonic)
     poison = PoisonRegistry(limit=3)
     cold = ColdAdmission(
-        "me", lambda: [Candidate("me", "erie-a", "erie")], monotonic, overshoot=1.5, slack=5
+        "me", lambda: [InstanceInfo("me", "erie-a", "erie")], monotonic, overshoot=1.5, slack=5
     )
     forwarder = Forwarder(
         EDGE_HEADERS,
--- a/tests/unit/test_carriers.py
+++ b/tests/unit/test_carriers.py
@@ -10,19 +10,21 @@
 from cassiashore._internal.steering.carriers import (
     LEAST_CARRIERS,
     UTILISATION,
+    InstanceInfo,
     all_carriers,
     carriers_of,
     told_load,
 )
-from cassiashore._internal.steering.directory import Entrance, entrances_for
+from cassiashore._internal.steering.directory import entrances_for
 
 NO_HOMES: frozenset[str] = frozenset()
 
 
 def entrance(
     number: int, domain: str = "erie-a", capacity: float = 300.0, load: float = 0.0
-) -> Entrance:
-    return Entrance(f"10.1.0.{number}:8641", domain, domain.split("-")[0], capacity, load)
+) -> InstanceInfo:
+    address = f"10.1.0.{number}:8641"
+    return InstanceInfo(f"run-{number}", domain, domain.split("-")[0], address, capacity, load)
 
 
 def test_few_instances_carry_the_callers_of_a_domain_and_the_largest_come_first() -> None:
@@ -93,5 +95,6 @@
 
 def test_a_caller_is_told_the_carriers_of_its_domain() -> None:
     entries = [entrance(n) for n in range(20)] + [entrance(n, "erie-b") for n in range(20, 40)]
-    told = entrances_for("erie", "erie-a", NO_HOMES, entries, lambda r: 0.0, random.Random(1))
+    carriers = all_carriers(entries)
+    told = entrances_for("erie", "erie-a", NO_HOMES, carriers, lambda r: 0.0, random.Random(1))
     assert set(told) == set(carriers_of(entries[:20]))
--- a/tests/unit/test_steering_limits.py
+++ b/tests/unit/test_steering_limits.py
@@ -7,14 +7,16 @@
 
 import pytest
 
-from cassiashore._internal.steering.cold import Candidate, ColdAdmission, senders_to
+from cassiashore._internal.steering.carriers import InstanceInfo
+from cassiashore._internal.steering.cold import ColdAdmission, senders_to
 from cassiashore._internal.steering.repeats import RepeatBudget
 from tests.lib.steering_builders import Clock
 
 
-def candidates(count: int, first: int = 0) -> list[Candidate]:
+def candidates(count: int, first: int = 0) -> list[InstanceInfo]:
     return [
-        Candidate(f"i-{n}", f"zone-{n % 6}", f"region-{n % 3}") for n in range(first, first + count)
+        InstanceInfo(f"i-{n}", f"zone-{n % 6}", f"region-{n % 3}")
+        for n in range(first, first + count)
     ]
 
 
