--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -96,20 +96,22 @@
 
         The list stays the same object until something changes.
         """
-        by_incarnation = {self.own_incarnation: self.own, **self.record_by_incarnation}
-        return self._carriers("senders", by_incarnation)
+        return self._carriers(
+            "senders", lambda: {self.own_incarnation: self.own, **self.record_by_incarnation}
+        )
 
     def entrances(self, *, without_own: bool) -> list[InstanceInfo]:
         """Return the registered instances that carry callers."""
-        by_incarnation = self.record_by_incarnation
-        if without_own:
-            own = self.own_incarnation
-            by_incarnation = {i: r for i, r in by_incarnation.items() if i != own}
-            return self._carriers("entrances without own", by_incarnation)
-        return self._carriers("entrances", by_incarnation)
+        if not without_own:
+            return self._carriers("entrances", lambda: self.record_by_incarnation)
+        own = self.own_incarnation
+        return self._carriers(
+            "entrances without own",
+            lambda: {i: r for i, r in self.record_by_incarnation.items() if i != own},
+        )
 
     def _carriers(
-        self, purpose: str, by_incarnation: Mapping[str, InstanceRecord]
+        self, purpose: str, records: Callable[[], Mapping[str, InstanceRecord]]
     ) -> list[InstanceInfo]:
         known = self._carriers_by_purpose.get(purpose)
         if known is None:
@@ -122,7 +124,7 @@
                     record.capacity,
                     self.load_of(incarnation),
                 )
-                for incarnation, record in by_incarnation.items()
+                for incarnation, record in records().items()
             )
             self._carriers_by_purpose[purpose] = known
         return known
--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass
 
 from cassiashore._internal.steering.registry import RegisteredTarget
@@ -93,9 +94,15 @@
         decided = self._share_by_service.get(service)
         return self._initial_by_service.get(service, 1.0) if decided is None else decided
 
-    def decisions_with(self, share_by_service: dict[str, float]) -> dict[str, float]:
-        """Return all that holds with new decisions: what is published stands for itself."""
-        return {**self._share_by_service, **share_by_service}
+    def decisions_with(
+        self, share_by_service: dict[str, float], services: Container[str]
+    ) -> dict[str, float]:
+        """Return all that holds with new decisions, for services that there still are.
+
+        What is published stands for itself, and outlasts the services of a day.
+        """
+        shares = {**self._share_by_service, **share_by_service}
+        return {service: share for service, share in shares.items() if service in services}
 
     def decided(self, share_by_service: dict[str, float]) -> None:
         """Take over what the deciding instance of the region says."""
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -273,7 +273,9 @@
                 if share is not None:
                     decided[service] = share
             if decided and self.instances.decides_for_region() and not self._is_stopping:
-                await self._publish_balance(self.balance.decisions_with(decided))
+                table = self.forwarder.table
+                services = table.rule_by_service if table is not None else decided
+                await self._publish_balance(self.balance.decisions_with(decided, services))
 
     async def _publish_balance(self, share_by_service: dict[str, float]) -> None:
         """Write the region's shares without a lease, so that they outlast all instances."""
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -88,8 +88,9 @@
 def test_what_a_region_publishes_holds_all_that_was_decided_before() -> None:
     """An instance that starts reads the last decision only, and must rank keys as the others do."""
     old, new = RegionBalance("erie"), RegionBalance("erie")
-    old.decided({"stock": 0.5, "orders": 0.7})
-    published = old.decisions_with({"stock": 0.6})
+    old.decided({"stock": 0.5, "orders": 0.7, "of-yesterday": 0.2})
+    published = old.decisions_with({"stock": 0.6}, {"stock", "orders"})
+    assert set(published) == {"stock", "orders"}
     for balance in (old, new):
         balance.decided(published)
     assert [new.share(s) for s in ("stock", "orders")] == [0.6, 0.7]
