--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -267,3 +267,20 @@
             await until(lambda: node.registration.retry_seconds == FIRST_RETRY_SECONDS)
 
     run(test)
+
+
+def test_an_instance_tells_its_load_and_with_it_who_carries_callers(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            own = node.instances.own_incarnation
+            node.forwarder.requests += 1000
+            await until(lambda: node.instances.load_of(own) > 100)
+            assert store.item_by_key[f"cassiashore/load/{own}"].lease != 0
+            assert [c.load for c in node.instances.entrances(without_own=False)] == [
+                node.instances.load_of(own)
+            ]
+            assert node.instances.entrances(without_own=True) == []
+            await until(lambda: node.instances.load_of(own) == 0)
+
+    run(test)
