--- a/src/cassiashore/_internal/routing/outstanding.py
+++ b/src/cassiashore/_internal/routing/outstanding.py
@@ -7,7 +7,7 @@
 
 from cassiashore._internal.peers.messages import ServiceLoad
 
-REFUSAL_SECONDS = 0.25  # half a digest interval: how long a place's refusal outweighs its report
+REFUSAL_SECONDS = 0.25  # half a heartbeat by default: how long a refusal outweighs a report
 
 
 @dataclass(slots=True)
--- a/src/cassiashore/_internal/steering/tries.py
+++ b/src/cassiashore/_internal/steering/tries.py
@@ -18,9 +18,7 @@
 
 LATER_SHARE = 0.985  # of the longest time on a route; below it the caller has tried before
 FADING = 0.999  # of the longest time at each request, so that a single long one is forgotten
-MAX_FAVOURED_SHARE = (
-    0.15  # of a route's requests that are later tries, above which none is favoured
-)
+MAX_FAVOURED_SHARE = 0.15  # of a route's requests: with more later tries, none is favoured
 SHARE_WEIGHT = 0.02  # of one request in that share: it follows within some fifty requests
 MAX_ROUTES = 4096
 
