Look at all targets of a service only when the first ranked ones are busy

Cause: each choice filtered all targets of the service and computed the load of all but four of them, also when the key's own target took the request at once. Change: the choice goes through the ranking lazily.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -341,18 +341,16 @@
         """Choose where to send, or say why the request is turned away."""
         route = call.route
         now = time.monotonic()
-        ranked = [
-            target
-            for target in self._placement.ranked(
-                call.service, call.key, route.objective, route.home_regions
-            )
-            if target.target_id not in call.tried and not target.health.is_resting(now)
-        ]
+        order = self._placement.ranked(call.service, call.key, route.objective, route.home_regions)
+        passed_over = set(call.tried)
         urgency = Urgency(call.deadline - now, route.objective, route.priority, call.is_favoured)
-        while ranked:
-            best = best_of(
-                self._placement.estimates(ranked, call.service, call.key, route.objective)
-            )
+        while options := self._placement.estimates(
+            (t for t in order if t.target_id not in passed_over and not t.health.is_resting(now)),
+            call.service,
+            call.key,
+            route.objective,
+        ):
+            best = best_of(options)
             decision = decide(best, urgency, self._rng)
             if decision.verdict is Verdict.TURN_AWAY:
                 call.retry_after = decision.retry_after
@@ -361,7 +359,7 @@
             if not best.target.is_cold(now) or self._admits_cold(best.target):
                 call.steps.append([best.target.target_id, decision.reason, round(best.seconds, 3)])
                 return Ok(best)
-            ranked.remove(best.target)
+            passed_over.add(best.target.target_id)
         call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
         return Err(Failure.not_run(Reason.NO_TARGET, f'no target of "{call.service}" takes work'))
 
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -16,10 +16,12 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from cassiashore._internal.models.hashing import HASH_RANGE, hash64
 from cassiashore._internal.steering.balance import RegionBalance
@@ -156,21 +158,22 @@
         return Estimate(target, travel + waiting + work, waiting)
 
     def estimates(
-        self, ranked: list[RegisteredTarget], service: str, key: str, objective: float
+        self, ranked: Iterable[RegisteredTarget], service: str, key: str, objective: float
     ) -> list[Estimate]:
-        """Estimate the first ranked targets, and the least loaded of the others."""
+        """Estimate the first ranked targets or, if these are busy, the least loaded of the others.
+
+        Only then are the others looked at, whose number grows with the deployment.
+        """
         now = self._monotonic()
-        chosen = ranked[:1]
-        for target in ranked[1:RANKED_CANDIDATES]:
-            if self.is_warm(target, key) or _utilisation(target, now) < OVERFLOW_UTILISATION:
-                chosen.append(target)
-        idle = [
-            (utilisation, target.target_id, target)
-            for target in ranked[RANKED_CANDIDATES:]
-            if (utilisation := _utilisation(target, now)) < SPREAD_UTILISATION
+        others = iter(ranked)
+        leading = list(islice(others, RANKED_CANDIDATES))
+        chosen = leading[:1] + [
+            target
+            for target in leading[1:]
+            if self.is_warm(target, key) or _utilisation(target, now) < OVERFLOW_UTILISATION
         ]
-        if len(chosen) == 1 and idle:
-            chosen.extend(target for _, _, target in sorted(idle)[:LEAST_LOADED_SAMPLE])
+        if len(chosen) == 1:
+            chosen.extend(_least_loaded(others, now))
         return [
             self.estimate(target, service, key, objective, first=index == 0)
             for index, target in enumerate(chosen)
@@ -269,6 +272,15 @@
     return target.load.busy(now) / max(1, target.report.slots)
 
 
+def _least_loaded(targets: Iterable[RegisteredTarget], now: float) -> list[RegisteredTarget]:
+    idle = [
+        (utilisation, target.target_id, target)
+        for target in targets
+        if (utilisation := _utilisation(target, now)) < SPREAD_UTILISATION
+    ]
+    return [target for _, _, target in heapq.nsmallest(LEAST_LOADED_SAMPLE, idle)]
+
+
 def best_of(estimates: list[Estimate]) -> Estimate:
     """Return the estimate to go by: the first one unless another is clearly faster."""
     first = estimates[0]
