Move what instances tell each other into the product; split the ingress by what each part does

The composition root in the platform's folder held decisions of the product: when regions balance, what load is told, how crashes are reported. They are in mirror/shared_state.py now, with the keys of this system's own, and the folder keeps translation and wiring. No behaviour changes.

--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
+from cassiashore._internal.ingress.connection import IngressServer
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.steering.routes import IngressLimits
 
 LIMITS = IngressLimits(idle_seconds=8.0)
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -11,12 +11,11 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from urllib.parse import unquote
 
 from result import Err, Ok, Result
 
-from cassiashore._internal.exceptions import ConnectionLostError, InvariantError
+from cassiashore._internal.exceptions import InvariantError
+from cassiashore._internal.ingress.answering import Answering
 from cassiashore._internal.ingress.attempt import (
     Proof,
     Send,
@@ -25,14 +24,14 @@
     classify,
 )
 from cassiashore._internal.ingress.body import BodyError
-from cassiashore._internal.ingress.connection import IngressRequest, Responder
+from cassiashore._internal.ingress.call import Call, Delivery, cookie_of, host_of
 from cassiashore._internal.ingress.edge import EdgeHeaders
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
-from cassiashore._internal.net.http_client import Headers
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.proxy.headers import end_to_end
-from cassiashore._internal.proxy.statuses import status_of
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
@@ -54,44 +53,6 @@
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
 
 
-@dataclass(slots=True)
-class Call:
-    """One request on its way.
-
-    ``deadline`` is when the caller gets a final answer, in seconds of the monotonic clock.
-    ``may_have_run`` counts sends of which it is not certain that they did not run.
-    """
-
-    request: IngressRequest
-    route: Route
-    service: str
-    key: str
-    deadline: float
-    version: int
-    is_favoured: bool = False
-    fingerprint: int = 0
-    sends: int = 0
-    may_have_run: int = 0
-    unreachable: int = 0
-    tried: set[str] = field(default_factory=set)
-    steps: list[list[object]] = field(default_factory=list)
-    worst: Failure | None = None
-    retry_after: float = 0.0
-
-    def failed(self, failure: Failure) -> None:
-        """Keep the worst knowledge: once a send may have run, the request may have run."""
-        if self.worst is None or self.worst.outcome is Outcome.NOT_RUN:
-            self.worst = failure
-
-
-@dataclass(slots=True)
-class Delivery:
-    """What the caller gets: a target's answer, and who made it."""
-
-    answer: TargetAnswer
-    target: RegisteredTarget
-
-
 class Forwarder:
     """Serves requests by the route table in force."""
 
@@ -120,7 +81,7 @@
         self._poison = poison
         self._make_budget = make_budget
         self._decisions = decisions
-        self._metrics = metrics
+        self._answering = Answering(edge, decisions, metrics)
         self._rng = rng
         self._split = SplitChooser()
         self._tries = TryMemory()
@@ -141,16 +102,16 @@
         table = self.table
         if table is None:
             failure = Failure.not_run(Reason.NOT_READY, "no configuration is in force yet")
-            self._refuse(request, responder, failure, NOT_READY_RETRY_SECONDS)
+            self._answering.refuse(request, responder, failure, NOT_READY_RETRY_SECONDS)
             return
-        route = table.match(_host_of(request), request.target.partition("?")[0])
+        route = table.match(host_of(request), request.target.partition("?")[0])
         if route is None:
             failure = Failure.not_run(Reason.UNKNOWN_ROUTE, "no route matches host and path")
-            self._refuse(request, responder, failure, version=table.version)
+            self._answering.refuse(request, responder, failure, version=table.version)
             return
         if self.refuses_new:
             failure = Failure.not_run(Reason.STOPPING, "this instance is stopping")
-            self._refuse(request, responder, failure, 0.0, version=table.version)
+            self._answering.refuse(request, responder, failure, 0.0, version=table.version)
             return
         if not route.is_idempotent:
             # Behind an answer that closes the connection the caller sends it again.
@@ -161,18 +122,18 @@
         call = self._call(request, route, table.version, send)
         if self._poison.is_poisonous(call.fingerprint):
             failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
-            self._refuse(request, responder, failure, version=table.version)
+            self._answering.refuse(request, responder, failure, version=table.version)
             return
         try:
             outcome = await self._run(call, send)
         except asyncio.CancelledError:
-            self._finish(call, "caller-left", None)
+            self._answering.finish(call, "caller-left", None)
             raise
         if isinstance(outcome, Err):
-            self._finish(call, outcome.err_value.reason.value, None)
-            self._answer_failure(responder, outcome.err_value, call.retry_after)
+            self._answering.finish(call, outcome.err_value.reason.value, None)
+            self._answering.fail(responder, outcome.err_value, call.retry_after)
             return
-        await self._deliver(call, responder, outcome.ok_value)
+        await self._answering.deliver(call, responder, outcome.ok_value)
 
     # Reading.
 
@@ -185,19 +146,19 @@
         most = self.table.limits.max_body_bytes
         if content_length is not None and int(content_length) > most:
             failure = Failure.not_run(Reason.BODY_TOO_LARGE, f"the body exceeds {most} bytes")
-            self._refuse(request, responder, failure)
+            self._answering.refuse(request, responder, failure)
             return None
         try:
             prefix = await request.body.prefix(PREFIX_BYTES)
         except BodyError as error:
             too_large = request.body.size + 1 > most or "large" in str(error)
             reason = Reason.BODY_TOO_LARGE if too_large else Reason.DEADLINE
-            self._refuse(request, responder, Failure.not_run(reason, str(error)))
+            self._answering.refuse(request, responder, Failure.not_run(reason, str(error)))
             return None
         request_id = request.header(self._edge.request_id)
         if request_id is None:
             failure = Failure.not_run(Reason.MALFORMED, "the request has no id")
-            self._refuse(request, responder, failure)
+            self._answering.refuse(request, responder, failure)
             return None
         headers = [p for p in end_to_end(request.headers) if p[0] not in self._own_request_headers]
         return Send(
@@ -219,7 +180,9 @@
         if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
             longest = int(given) / 1000
             is_favoured = self._tries.is_favoured(route.name, longest)
-        key = _cookie(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
+        key = (
+            cookie_of(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
+        )
         call = Call(
             request,
             route,
@@ -453,111 +416,8 @@
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
             target.load.report(int(parts[0]) + int(parts[1]), time.monotonic())
 
-    # Answering.
-
-    async def _deliver(self, call: Call, responder: Responder, delivery: Delivery) -> None:
-        answer = delivery.answer
-        headers = [p for p in end_to_end(answer.head.headers) if p[0] != b"content-length"]
-        if answer.rest is None:
-            self._finish(call, "answered", delivery)
-            responder.send_whole(answer.head.status, headers, answer.body)
-            return
-        connection, whole = answer.rest, False
-        try:
-            await responder.turn()
-            length = answer.head.get(b"content-length")
-            responder.start(answer.head.status, headers, int(length) if length else None)
-            piece: bytes | None = answer.body
-            while piece is not None:
-                await responder.write(piece)
-                piece = await connection.read_chunk()
-            whole = True
-            responder.finish()
-        except ConnectionLostError:
-            responder.abort()
-        finally:
-            pool = delivery.target.pool
-            pool.release(connection) if whole else pool.discard(connection)
-            self._finish(call, "answered" if whole else "broken-off", delivery)
-
-    def _answer_failure(self, responder: Responder, failure: Failure, retry_after: float) -> None:
-        status = status_of(failure.reason)
-        if failure.outcome is Outcome.UNKNOWN and failure.reason is not Reason.DEADLINE:
-            status = 502
-        elif failure.outcome is Outcome.NOT_RUN and failure.reason is Reason.DEADLINE:
-            status = 503
-        headers: Headers = [(b"content-type", b"text/plain")]
-        if status in (429, 503):
-            headers.append((b"retry-after", f"{retry_after:.3f}".encode()))
-        responder.send_whole(status, headers, failure.detail.encode("latin-1", "replace") + b"\n")
-
-    def _refuse(
-        self,
-        request: IngressRequest,
-        responder: Responder,
-        failure: Failure,
-        retry_after: float = 0.0,
-        version: int = 0,
-    ) -> None:
-        request_id = request.header(self._edge.request_id) or b""
-        self._decisions.write_request(
-            "refuse",
-            id=request_id.decode("latin-1"),
-            version=version,
-            reason=failure.reason.value,
-            detail=failure.detail,
-        )
-        self._metrics.count_request("none", failure.outcome.value, failure.reason.value)
-        self._answer_failure(responder, failure, retry_after)
-
-    def _finish(self, call: Call, result: str, delivery: Delivery | None) -> None:
-        """Log the decision and count it."""
-        request_id = call.request.header(self._edge.request_id) or b""
-        seconds = time.monotonic() - call.request.received_at
-        self._decisions.write_request(
-            "route",
-            id=request_id.decode("latin-1"),
-            route=call.route.name,
-            service=call.service,
-            key=call.key,
-            version=call.version,
-            favoured=call.is_favoured,
-            left_s=round(call.deadline - time.monotonic(), 3),
-            steps=call.steps,
-            result=result,
-            status=delivery.answer.head.status if delivery is not None else None,
-            seconds=round(seconds, 4),
-        )
-        outcome = Outcome.RAN.value if delivery is not None else Outcome.UNKNOWN.value
-        if delivery is None and call.worst is not None:
-            outcome = call.worst.outcome.value
-        self._metrics.count_request(call.service, outcome, result)
-        self._metrics.observe_latency(call.service, seconds)
-
     def _budget(self, service: str) -> RepeatBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
             budget = self._budget_by_service[service] = self._make_budget()
         return budget
-
-
-def _host_of(request: IngressRequest) -> str:
-    host = (request.header(b"host") or b"").decode("latin-1").lower()
-    name, separator, port = host.rpartition(":")
-    return name if separator and port.isdigit() else host
-
-
-def _cookie(headers: Headers, wanted: bytes) -> str | None:
-    """Return the value of a cookie, or None.
-
-    >>> _cookie([(b"cookie", b"a=1; Key=17")], b"key")
-    '17'
-    """
-    for name, value in headers:
-        if name != b"cookie":
-            continue
-        for part in value.split(b";"):
-            cookie, separator, content = part.strip().partition(b"=")
-            if separator and cookie.lower() == wanted:
-                return unquote(content.decode("latin-1"))
-    return None
--- /dev/null
+++ b/src/cassiashore/_internal/ingress/responder.py
@@ -0,0 +1,128 @@
+"""Writing of one answer on a connection that carries several requests."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import Protocol
+
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.net.http_client import Headers
+
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+_WITHOUT_BODY = frozenset({204, 304})
+
+
+class AnswerChannel(Protocol):
+    """What a responder needs of its connection."""
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether the connection is to close after the answer."""
+
+    def is_first(self, responder: Responder) -> bool:
+        """Tell whether the next answer to write is that of the responder."""
+
+    def write(self, data: bytes) -> None:
+        """Write bytes unless the connection is closing."""
+
+    async def drain(self) -> None:
+        """Wait until the send buffer has room."""
+
+    def abort(self) -> None:
+        """Break the connection."""
+
+    def answered(self, responder: Responder, *, closes: bool) -> None:
+        """Go on to the next answer, or close."""
+
+
+class Responder:
+    """Writes the answer of one request when its turn has come."""
+
+    def __init__(self, connection: AnswerChannel, request: IngressRequest) -> None:
+        """Create a responder that has written nothing."""
+        self.task: asyncio.Task[None] | None = None
+        self.is_started = False
+        self.is_finished = False
+        self._connection = connection
+        self._request = request
+        self._whole: bytes | None = None
+        self._closes = False
+        self._chunked = False
+        self._turn: asyncio.Future[None] | None = None
+
+    async def turn(self) -> None:
+        """Wait until all earlier requests of the connection are answered."""
+        if self._connection.is_first(self):
+            return
+        self._turn = asyncio.get_running_loop().create_future()
+        await self._turn
+
+    def send_whole(
+        self, status: int, headers: Headers, body: bytes, *, close: bool = False
+    ) -> None:
+        """Answer with a body that is at hand; the bytes go out when it is the request's turn."""
+        length = [] if status in _WITHOUT_BODY else [(b"content-length", str(len(body)).encode())]
+        head = self._head(status, [*headers, *length], close=close)
+        self._whole = head if self._request.method == "HEAD" else head + body
+        if self._connection.is_first(self):
+            self.flush()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Begin an answer of ``length`` bytes, or a chunked one; only in turn."""
+        old = self._request.version == "1.0"
+        self._chunked = length is None and not old
+        if length is not None:
+            headers = [*headers, (b"content-length", str(length).encode())]
+        elif self._chunked:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        head = self._head(status, headers, close=old and length is None)
+        self.is_started = True
+        self._connection.write(head)
+
+    async def write(self, data: bytes) -> None:
+        """Write a piece of the body, waiting while the caller reads too slowly."""
+        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End an answer that was started."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
+        self._complete()
+
+    def abort(self) -> None:
+        """Break the connection, so that a part is not taken for the whole."""
+        self.is_finished = True
+        self._connection.abort()
+
+    def flush(self) -> None:
+        """Write the answer that waits for its turn, if there is one."""
+        if self._whole is not None and not self.is_finished:
+            data, self._whole = self._whole, None
+            self.is_started = True
+            self._connection.write(data)
+            self._complete()
+        elif self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
+
+    def _complete(self) -> None:
+        self.is_finished = True
+        self._connection.answered(self, closes=self._closes)
+
+    def _head(self, status: int, headers: Headers, *, close: bool) -> bytes:
+        request = self._request
+        self._closes = (
+            close
+            or not request.keep_alive
+            or not request.body.is_complete
+            or self._connection.is_draining
+        )
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _PHRASES.get(status, b"Unknown"))]
+        lines.extend(b"%b: %b\r\n" % pair for pair in headers)
+        if self._closes:
+            lines.append(b"connection: close\r\n")
+        elif request.version == "1.0":
+            lines.append(b"connection: keep-alive\r\n")
+        lines.append(b"\r\n")
+        return b"".join(lines)
--- a/src/cassiashore/platform/changes.py
+++ b/src/cassiashore/platform/changes.py
@@ -5,26 +5,18 @@
 import logging
 import time
 
-import msgspec
 from result import Err
 
 from cassiashore._internal.ingress.forwarder import Forwarder
-from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.observability.logs import DecisionLog
-from cassiashore._internal.requests.poison import PoisonRegistry
-from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.placement import Placement
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore.platform.decoding import ConfigurationDecoder, decode_target
 from cassiashore.platform.wire import (
-    BALANCE_PREFIX,
     CONFIGURATION_KEY,
-    CRASH_PREFIX,
     EVACUATION_PREFIX,
-    INSTANCE_PREFIX,
-    LOAD_PREFIX,
     TARGET_PREFIX,
 )
 
@@ -32,40 +24,29 @@
 
 
 class StoreChanges:
-    """Listens to the mirror, decodes each change, and logs one line for each changed belief."""
+    """Decodes what operators and targets write, and logs one line for each changed belief."""
 
     def __init__(
         self,
         mirror: StoreMirror,
-        instances: InstanceTable,
         registry: TargetRegistry,
         forwarder: Forwarder,
         placement: Placement,
         cold: ColdAdmission,
-        poison: PoisonRegistry,
-        balance: RegionBalance,
         decisions: DecisionLog,
     ) -> None:
         """Connect the mirror with the parts that a change concerns."""
         self.mirror = mirror
-        self.instances = instances
         self.registry = registry
         self.forwarder = forwarder
         self.placement = placement
         self.cold = cold
-        self.poison = poison
-        self.balance = balance
         self._decisions = decisions
         self._configurations = ConfigurationDecoder()
         mirror.listen(CONFIGURATION_KEY, self._configuration_changed)
         mirror.listen(TARGET_PREFIX, self._target_changed)
         mirror.listen(EVACUATION_PREFIX, self._evacuation_changed)
-        mirror.listen(INSTANCE_PREFIX, instances.changed)
-        mirror.listen(LOAD_PREFIX, instances.load_changed)
-        mirror.listen(BALANCE_PREFIX, self._balance_changed)
-        mirror.listen(CRASH_PREFIX, self._crashes_changed)
         mirror.on_doubt = self._doubted
-        instances.on_change = self._instance_changed
         registry.on_change = self._registry_changed
         registry.cold_seconds_of = self._cold_seconds_of
 
@@ -99,14 +80,6 @@
             return
         self.registry.apply(decoded.ok_value)
 
-    def _balance_changed(self, region: str, value: bytes | None) -> None:
-        if value is None or region != self.instances.own.region:
-            return
-        try:
-            self.balance.decided(msgspec.msgpack.decode(value, type=dict[str, float]))
-        except msgspec.DecodeError as error:
-            logger.warning('balance of region "%s" ignored: %s', region, error)
-
     def _doubted(self, key: str) -> None:
         if key.startswith(TARGET_PREFIX):
             self.registry.doubt(key.removeprefix(TARGET_PREFIX))
@@ -115,28 +88,6 @@
         self._decisions.write("evacuation", failure_domain=failure_domain, begun=value is not None)
         self.registry.set_evacuated(failure_domain, value is not None)
 
-    def _crashes_changed(self, incarnation: str, value: bytes | None) -> None:
-        if incarnation == self.instances.own_incarnation:
-            return
-        self.poison.forget_origin(incarnation)
-        if value is None:
-            return
-        try:
-            counts = msgspec.msgpack.decode(value, type=dict[int, int])
-        except msgspec.DecodeError as error:
-            logger.warning('crash report of "%s" ignored: %s', incarnation, error)
-            return
-        self.poison.merge_report(incarnation, counts)
-
-    def _instance_changed(self, what: str, incarnation: str) -> None:
-        self._decisions.write(
-            "instance",
-            what=what,
-            incarnation=incarnation,
-            revision=self.mirror.revision,
-            known=self.instances.count(),
-        )
-
     def _registry_changed(self, what: str, target: RegisteredTarget) -> None:
         if target.is_gone:
             self.cold.forget(target.target_id)
--- a/src/cassiashore/platform/faces.py
+++ b/src/cassiashore/platform/faces.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from cassiashore._internal.ingress.connection import IngressRequest, Responder
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.ingress.responder import Responder
 from cassiashore.platform.wire import READY_PATH, RESOLVE_PATH
 
 _JSON = [(b"content-type", b"application/json")]
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -8,17 +8,17 @@
 import random
 import time
 
-import msgspec
-from result import Ok
-
-from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
+from cassiashore._internal.ingress.connection import IngressServer
 from cassiashore._internal.ingress.forwarder import Forwarder
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.mirror.distance_probe import DistanceProbe
 from cassiashore._internal.mirror.follower import StoreFollower
-from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
+from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.registration import Registration
 from cassiashore._internal.mirror.relay import FeedRelay
+from cassiashore._internal.mirror.shared_state import SharedState
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.models.incarnation import new_incarnation
 from cassiashore._internal.net.pool import ConnectionPool
@@ -26,8 +26,8 @@
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.requests.poison import PoisonRegistry
-from cassiashore._internal.steering.balance import STEP_SECONDS, RegionBalance
-from cassiashore._internal.steering.carriers import capacity_of, told_load
+from cassiashore._internal.steering.balance import RegionBalance
+from cassiashore._internal.steering.carriers import capacity_of
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.directory import entrances_for
 from cassiashore._internal.steering.distance import RegionDistances
@@ -35,18 +35,13 @@
 from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import IngressLimits
-from cassiashore._internal.store.events import NO_LEASE, Write
 from cassiashore._internal.supervision import TaskSet
 from cassiashore.platform.changes import StoreChanges
 from cassiashore.platform.faces import Faces
 from cassiashore.platform.settings import PlatformSettings, read_settings
 from cassiashore.platform.store import PlatformStore
 from cassiashore.platform.wire import (
-    BALANCE_PREFIX,
-    CRASH_PREFIX,
     EDGE_HEADERS,
-    INSTANCE_PREFIX,
-    LOAD_PREFIX,
 )
 
 logger = logging.getLogger(__name__)
@@ -58,8 +53,6 @@
 CONNECTIONS_PER_TARGET = 64  # of one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_SECONDS = 5.0
-LOAD_SECONDS = 2.0  # callers keep the directory's answer about as long
-CRASH_REPORT_SECONDS = 1.0  # well within stable-window; each report is a write to the store
 REFUSE_AFTER_SHARE = 0.45  # of the grace period: requests that come later could be cut off
 END_SHARE = 0.93  # of the grace period; the process ends before it is killed
 LEAVE_SECONDS = 2.0  # callers and the platform learn within this time that the instance leaves
@@ -84,7 +77,6 @@
         self._logs = logs
         self._content_seen = settings
         self._is_stopping = False
-        self._crashed = asyncio.Event()
         self.tasks = TaskSet()
         self._rng = random.Random()
         identity = Identity(
@@ -171,16 +163,23 @@
     def _connect(self) -> None:
         self._changes = StoreChanges(
             self.mirror,
-            self.instances,
             self.registry,
             self.forwarder,
             self.placement,
             self.cold,
-            self.poison,
+            self._decisions,
+        )
+        self.shared = SharedState(
+            self.store,
+            self.registration,
+            self.mirror,
+            self.instances,
+            self.registry,
             self.balance,
+            self.forwarder,
+            self.poison,
             self._decisions,
         )
-        self.poison.on_crash = self._crashed.set
 
     # Life cycle.
 
@@ -200,9 +199,7 @@
             self._register_when_ready(),
             self._watch_settings(),
             self._maintain(),
-            self._balance_regions(),
-            self._publish_crashes(),
-            self._tell_load(),
+            *self.shared.works(),
         ):
             self.tasks.spawn(work)
         await self._wait_for_configuration()
@@ -222,6 +219,7 @@
         grace = self.settings.terms.bounds.grace_s
         started = time.monotonic()
         self._is_stopping = True
+        self.shared.is_leaving = True
         self.front.is_draining = True
         logger.info("instance %s stops within %g s", self.own.identity.instance, grace)
         self._withdrawal = asyncio.create_task(self.registration.withdraw())
@@ -246,9 +244,7 @@
     async def _register_when_ready(self) -> None:
         while self.forwarder.table is None:
             await asyncio.sleep(STOP_POLL_SECONDS)
-        key = INSTANCE_PREFIX + self.instances.own_incarnation
-        if not self._is_stopping:
-            self.registration.put(key, encode_record(self.own))
+        self.shared.register()
 
     async def _wait_for_configuration(self) -> None:
         """Wait a moment before callers can connect: they would be turned away without one."""
@@ -256,56 +252,6 @@
         while self.forwarder.table is None and time.monotonic() < until:
             await asyncio.sleep(BOOT_POLL_SECONDS)
 
-    async def _balance_regions(self) -> None:
-        """Compare the load of the regions; the region's reader of the store decides."""
-        while True:
-            await asyncio.sleep(STEP_SECONDS)
-            now = time.monotonic()
-            records = self.instances.records()
-            here = sum(record.region == self.own.region for record in records)
-            decided: dict[str, float] = {}
-            for service, targets in self.registry.targets_by_service.items():
-                usable = [target for target in targets if target.takes_work]
-                if not usable:
-                    continue
-                self.balance.start_from(service, usable, here, len(records))
-                share = self.balance.decide(service, usable, now)
-                if share is not None:
-                    decided[service] = share
-            if decided and self.instances.decides_for_region() and not self._is_stopping:
-                table = self.forwarder.table
-                services = table.rule_by_service if table is not None else decided
-                await self._publish_balance(self.balance.decisions_with(decided, services))
-
-    async def _publish_balance(self, share_by_service: dict[str, float]) -> None:
-        """Write the region's shares without a lease, so that they outlast all instances."""
-        key = BALANCE_PREFIX + self.own.region
-        known = self.mirror.item_by_key.get(key)
-        value = msgspec.msgpack.encode(share_by_service)
-        outcome = await self.store.commit(
-            {key: known.revision if known is not None else 0}, [Write(key, value, NO_LEASE)]
-        )
-        self._decisions.write(
-            "balance",
-            own_share=share_by_service,
-            region=self.own.region,
-            after=known.revision if known is not None else 0,
-            outcome="published" if isinstance(outcome, Ok) else str(outcome.err_value),
-        )
-
-    async def _tell_load(self) -> None:
-        """Tell the requests a second that come here, in steps, for the choice of carriers."""
-        key = LOAD_PREFIX + self.instances.own_incarnation
-        told, before = 0.0, 0
-        while True:
-            await asyncio.sleep(LOAD_SECONDS)
-            load = told_load((self.forwarder.requests - before) / LOAD_SECONDS, told)
-            before = self.forwarder.requests
-            if load != told and not self._is_stopping:
-                told = load
-                self._decisions.write("load", requests_per_s=round(load, 1))
-                self.registration.put(key, msgspec.msgpack.encode(load) if load else None)
-
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
@@ -380,16 +326,6 @@
             time.monotonic,
         )
 
-    async def _publish_crashes(self) -> None:
-        """Tell of lost connections in groups: a target that fails loses many at once."""
-        key = CRASH_PREFIX + self.instances.own_incarnation
-        while True:
-            await self._crashed.wait()
-            self._crashed.clear()
-            counts = self.poison.own_counts()
-            self.registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
-            await asyncio.sleep(CRASH_REPORT_SECONDS)
-
 
 async def _listen(face: IngressServer, address: str | None) -> None:
     if address is not None:
--- a/src/cassiashore/platform/standin.py
+++ b/src/cassiashore/platform/standin.py
@@ -12,7 +12,9 @@
 
 import msgspec
 
-from cassiashore._internal.ingress.connection import IngressRequest, IngressServer, Responder
+from cassiashore._internal.ingress.connection import IngressServer
+from cassiashore._internal.ingress.request import IngressRequest
+from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.steering.routes import IngressLimits
 
 MAX_PAGE_ITEMS = 50
--- a/src/cassiashore/platform/wire.py
+++ b/src/cassiashore/platform/wire.py
@@ -1,4 +1,4 @@
-"""Names on the platform's wire: headers, keys of its store, and words."""
+"""Names on the platform's wire: headers, paths, and the keys that operators and targets write."""
 
 from __future__ import annotations
 
@@ -22,9 +22,3 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
-
-# Keys of this system's own; the platform does not look into them.
-INSTANCE_PREFIX = "cassiashore/instances/"
-LOAD_PREFIX = "cassiashore/load/"
-BALANCE_PREFIX = "cassiashore/balance/"
-CRASH_PREFIX = "cassiashore/crashes/"
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -223,9 +223,9 @@
         store, address, _ = await filled_store()
         key = "cassiashore/balance/erie"
         async with running_node(tmp_path, settings(address)) as node:
-            await node._publish_balance({"stock": 0.5})
+            await node.shared.publish_balance({"stock": 0.5})
             await until(lambda: node.balance.share("stock") == 0.5)
-            await node._publish_balance(
+            await node.shared.publish_balance(
                 node.balance.decisions_with({"orders": 0.7}, {"stock", "orders"})
             )
         assert store.item_by_key[key].lease == 0
