--- /dev/null
+++ b/lab/platform_documents.py
@@ -0,0 +1,55 @@
+"""Documents in the platform's words, for tests, the soak and experiments: manifests and entries."""
+
+from __future__ import annotations
+
+from typing import Any
+
+ROUTE = {
+    "host": "shop.example",
+    "path-prefix": "/a/",
+    "kind": "safe",
+    "timeout-s": 2.5,
+    "target-latency-s": 0.4,
+    "priority": 1,
+    "service": "stock",
+    "max-attempts": 2,
+    "session-affinity": True,
+    "home-regions": [],
+}
+SERVICE = {
+    "health-path": "/health",
+    "max-connections": 100,
+    "cold-start-s": 3.0,
+    "cold-per-s": 14.0,
+}
+LIMITS = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 1 << 20,
+    "header-timeout-s": 3,
+    "idle-timeout-s": 15,
+}
+BORN = 1_700_000_000_000  # when a target started, in Unix milliseconds
+
+
+def manifest_of(
+    version: int, routes: dict[str, dict[str, Any]], service: dict[str, Any] | None = None
+) -> dict[str, Any]:
+    """Return a manifest; each route, and both services, are the usual ones with other fields."""
+    rule = {**SERVICE, **(service or {})}
+    return {
+        "version": f"{version:08x}",
+        "routes": {name: {**ROUTE, **changes} for name, changes in routes.items()},
+        "services": {"stock": rule, "orders": rule},
+        "limits": LIMITS,
+    }
+
+
+def entry(where: str, /, **changes: Any) -> dict[str, Any]:
+    """Return the entry of a target; ``changes`` go to where the field stands."""
+    info = {"service": "stock", "version": "v1", "zone": "erie-a", "slots": 6}
+    status = {"state": "ready", "seq": 1, "cold-left-s": 0}
+    top: dict[str, Any] = {"address": where, "born": BORN}
+    for name, value in changes.items():
+        place = info if name in info else status if name in status else top
+        place[name] = value
+    return {**top, "info": info, "status": status}
--- a/lab/platform_face.py
+++ b/lab/platform_face.py
@@ -31,6 +31,7 @@
 from cassiashore._internal.steering.routes import IngressLimits
 from cassiashore.platform.settings import SETTINGS_VARIABLE
 from cassiashore.platform.standin import StandinStore
+from lab.platform_documents import entry, manifest_of
 
 CALLERS = 16
 SECONDS = 5.0
@@ -88,34 +89,12 @@
 
 
 def _manifest(version: int, routes: int) -> dict[str, Any]:
-    route = {
-        "host": "shop.example",
-        "kind": "safe",
-        "timeout-s": 2.5,
-        "target-latency-s": 0.4,
-        "priority": 1,
-        "service": "stock",
-        "max-attempts": 2,
-        "session-affinity": True,
-        "home-regions": [],
-    }
-    service = {"health-path": "/health", "max-connections": 1000}
-    limits = {"max-header-bytes": 16384, "max-body-bytes": 1 << 20}
-    return {
-        "version": f"{version:08x}",
-        "routes": {f"r-{n}": {**route, "path-prefix": f"/a{n}/"} for n in range(routes)},
-        "services": {"stock": service, "orders": service},
-        "limits": {**limits, "header-timeout-s": 3, "idle-timeout-s": 15},
-    }
+    named = {f"r-{n}": {"path-prefix": f"/a{n}/"} for n in range(routes)}
+    return manifest_of(version, named, {"max-connections": 1000})
 
 
 def _entry(address: str, sequence: int, service: str = "stock") -> dict[str, Any]:
-    return {
-        "address": address,
-        "born": 1,
-        "info": {"service": service, "version": "v1", "zone": "z", "slots": SLOTS},
-        "status": {"state": "ready", "seq": sequence, "cold-left-s": 0},
-    }
+    return entry(address, seq=sequence, service=service, zone="z", slots=SLOTS)
 
 
 def _free_address() -> str:
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -14,6 +14,7 @@
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.steering.routes import IngressLimits
+from lab.platform_documents import entry
 
 LIMITS = IngressLimits(idle_seconds=8.0)
 QUEUE_PER_SLOT = 2
@@ -91,17 +92,15 @@
     def entry(self, address: str) -> dict[str, Any]:
         """Return what the target writes into the store."""
         self.sequence += 1
-        return {
-            "address": address,
-            "born": self.born,
-            "info": {
-                "service": self.service,
-                "version": "v1",
-                "zone": self.failure_domain,
-                "slots": self.slots,
-            },
-            "status": {"state": self.state, "seq": self.sequence, "cold-left-s": 0},
-        }
+        return entry(
+            address,
+            born=self.born,
+            service=self.service,
+            zone=self.failure_domain,
+            slots=self.slots,
+            state=self.state,
+            seq=self.sequence,
+        )
 
     async def _handle(self, request: IngressRequest, responder: Responder) -> None:
         request_id = (request.header(b"x-cassiashore-request-id") or b"").decode()
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -17,6 +17,7 @@
 from cassiashore._internal.net.http_client import connect
 from cassiashore.platform.settings import SETTINGS_VARIABLE
 from cassiashore.platform.standin import StandinStore
+from lab.platform_documents import manifest_of
 from lab.ports import LOOPBACK, free_ports
 from lab.soak.proxy import FaultProxy
 from lab.soak.target import Run, RunLedger, SoakTarget
@@ -228,31 +229,15 @@
 
 
 def _manifest(version: int, service_by_prefix: dict[str, str]) -> dict[str, Any]:
-    routes: dict[str, dict[str, Any]] = {
+    routes = {
         f"r{prefix.strip('/')}": {
-            "host": "shop.example",
             "path-prefix": prefix,
             "kind": "unsafe" if service == "orders" else "safe",
             "timeout-s": 2.0,
-            "target-latency-s": 0.4,
-            "priority": 1,
             "service": service,
-            "max-attempts": 2,
-            "session-affinity": True,
-            "home-regions": [],
         }
         for prefix, service in service_by_prefix.items()
     }
-    rule = {
-        "health-path": "/health",
-        "max-connections": 300,
-        "cold-start-s": 1.0,
-        "cold-per-s": 30.0,
-    }
-    limits = {"max-header-bytes": 16384, "max-body-bytes": 1 << 20}
-    return {
-        "version": f"{version:08x}",
-        "routes": routes,
-        "services": dict.fromkeys(SERVICES, rule),
-        "limits": {**limits, "header-timeout-s": 3, "idle-timeout-s": 15},
-    }
+    return manifest_of(
+        version, routes, {"max-connections": 300, "cold-start-s": 1.0, "cold-per-s": 30.0}
+    )
--- a/tests/lib/platform_builders.py
+++ b/tests/lib/platform_builders.py
@@ -14,8 +14,11 @@
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.settings import read_settings
 from cassiashore.platform.standin import StandinStore
+from lab.platform_documents import entry, manifest_of
 from tests.lib.ingress import SOON
 
+__all__ = ["entry", "manifest", "running_node", "running_store", "settings", "until"]
+
 
 def free_port() -> int:
     with socket.socket() as probe:
@@ -25,46 +28,7 @@
 
 def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a manifest with one route; ``changes`` replace fields of the route."""
-    route = {
-        "host": "shop.example",
-        "path-prefix": "/a/",
-        "kind": "safe",
-        "timeout-s": 2.5,
-        "target-latency-s": 0.4,
-        "priority": 1,
-        "service": "stock",
-        "max-attempts": 2,
-        "session-affinity": True,
-        "home-regions": [],
-    }
-    service = {
-        "health-path": "/health",
-        "max-connections": 100,
-        "cold-start-s": 3.0,
-        "cold-per-s": 14.0,
-    }
-    return {
-        "version": f"{version:08x}",
-        "routes": {"r-1": {**route, **changes}},
-        "services": {"stock": service, "orders": service},
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 1 << 20,
-            "header-timeout-s": 3,
-            "idle-timeout-s": 15,
-        },
-    }
-
-
-def entry(where: str, /, **changes: Any) -> dict[str, Any]:
-    """Return the entry of a target; ``changes`` go to where the field stands."""
-    info = {"service": "stock", "version": "v1", "zone": "erie-a", "slots": 6}
-    status = {"state": "ready", "seq": 1, "cold-left-s": 0}
-    top: dict[str, Any] = {"address": where, "born": 1_700_000_000_000}
-    for name, value in changes.items():
-        place = info if name in info else status if name in status else top
-        place[name] = value
-    return {**top, "info": info, "status": status}
+    return manifest_of(version, {"r-1": changes})
 
 
 def settings(store: str, name: str = "front-1", seeds: list[str] | None = None) -> dict[str, Any]:
