--- a/lab/feed.py
+++ b/lab/feed.py
@@ -13,10 +13,10 @@
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 
 KEYS = (52, 278, 672, 5000)  # entries of the deployments at hand, and of a larger one
-ROUNDS = 20
-FIRST_REVISION = 100
+ROUNDS = 20  # of packing and unpacking, of which the mean is shown
+FIRST_REVISION = 100  # of the entries
 INSTANCES, DOMAINS, REGIONS = 1600, 56, 15  # the target size
-ANSWERS = 20_000
+ANSWERS = 20_000  # look-ups that are timed
 ANSWERS_PER_CHANGE = 100  # an instance that starts, ends or tells another load, each tenth second
 
 
--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -24,10 +24,10 @@
 from lab.soak.world import World
 
 SETTLE_SECONDS = 6.0  # recovery after the last fault, before the end is judged
-END_SECONDS = 3.0
-FAULTS_PER_SECOND = 0.5
-MAX_LISTED = 10
-MAX_ERROR_CHARACTERS = 2000
+END_SECONDS = 3.0  # of attempts that are judged at the end
+FAULTS_PER_SECOND = 0.5  # most last for seconds, so they overlap
+MAX_LISTED = 10  # broken promises in a line
+MAX_ERROR_CHARACTERS = 2000  # of a failed run's output
 
 
 async def _soak(
--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -12,12 +12,12 @@
 from lab.soak.promises import Attempt, Judge
 from lab.soak.world import Instance, World
 
-DEADLINE_SECONDS = 4.0
-PAUSE_SECONDS = (0.02, 0.12)
-UNSAFE_SHARE = 0.4
-ADDED_ROUTE_SHARE = 0.15
-KEYS = 40
-MAX_ANSWER_BYTES = 1 << 16
+DEADLINE_SECONDS = 4.0  # twice the routes' timeout
+PAUSE_SECONDS = (0.02, 0.12)  # least and most between two requests of a caller
+UNSAFE_SHARE = 0.4  # of the requests
+ADDED_ROUTE_SHARE = 0.15  # of the idempotent requests
+KEYS = 40  # objects; each target sees some
+MAX_ANSWER_BYTES = 1 << 16  # answers are short
 
 
 class Caller:
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -14,8 +14,8 @@
 Fault = Callable[[World], Coroutine[Any, Any, None]]
 fault_by_name: dict[str, Fault] = {}
 LAPSE_SECONDS = 3.0  # three reports missed: then a target's entry is removed
-GRACE_SECONDS = 6.0
-OUTAGE_SECONDS = (0.5, 5.0)
+GRACE_SECONDS = 6.0  # as in the settings
+OUTAGE_SECONDS = (0.5, 5.0)  # shorter and longer than a lease
 
 
 def fault(name: str) -> Callable[[Fault], Fault]:
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -11,7 +11,7 @@
 
 SLACK_SECONDS = 0.5  # of this machine and of the stand-ins, on top of a bound in time
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
-SERVED_AT_THE_END = 0.9
+SERVED_AT_THE_END = 0.9  # of the attempts, once nothing is wrong any more
 LASTING = frozenset({"/a/", "/b/"})  # routes that no manifest drops
 
 
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-CHUNK_BYTES = 64 * 1024
+CHUNK_BYTES = 64 * 1024  # read at a time
 
 
 class Harm(Enum):
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -17,8 +17,8 @@
 from lab.platform_documents import entry
 
 LIMITS = IngressLimits(idle_seconds=8.0)
-QUEUE_PER_SLOT = 2
-WORK_SECONDS = (0.01, 0.06)
+QUEUE_PER_SLOT = 2  # requests that wait before the target sheds
+WORK_SECONDS = (0.01, 0.06)  # least and most of a request
 
 
 @dataclass(frozen=True, slots=True)
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -24,8 +24,8 @@
 
 REGION_BY_DOMAIN = {"erie-a": "erie", "erie-b": "erie", "huron-a": "huron"}
 SERVICES = ("stock", "orders")
-SLOTS = 8
-START_SECONDS = 15.0
+SLOTS = 8  # of a target; all callers fit several targets
+START_SECONDS = 15.0  # an instance starts within half a second on an idle machine
 CALM_SECONDS = 3.0  # stable-window: bounds in time hold only this long after the last disturbance
 BOUNDS = {"drain-s": 2.5, "evac-s": 5, "config-apply-s": 2.5, "grace-s": 6, "stable-window-s": 3}
 
--- a/src/cassiashore/_internal/cli/catalogue.py
+++ b/src/cassiashore/_internal/cli/catalogue.py
@@ -29,9 +29,9 @@
 )
 from cassiashore._internal.exceptions import InvalidFileError
 
-CHANGE_ID_BYTES = 8
-REACH_POLL_SECONDS = 0.5
-REACH_SECONDS = 12.0
+CHANGE_ID_BYTES = 8  # no two changes of a day share an id
+REACH_POLL_SECONDS = 0.5  # a person waits
+REACH_SECONDS = 12.0  # in which a change is in force everywhere
 _EXIT_BY_VERDICT = {"conflict": 1, "rejected": 2, "unknown": EXIT_UNKNOWN}
 
 
--- a/src/cassiashore/_internal/cli/entry.py
+++ b/src/cassiashore/_internal/cli/entry.py
@@ -14,7 +14,7 @@
 from cassiashore._internal.settings import EntrySettings
 from cassiashore._internal.validation import load_model
 
-EXIT_BROKEN = 70
+EXIT_BROKEN = 70  # EX_SOFTWARE of sysexits.h
 
 
 def run_entry(settings_file: str) -> None:
--- a/src/cassiashore/_internal/cli/explain.py
+++ b/src/cassiashore/_internal/cli/explain.py
@@ -14,7 +14,7 @@
 
 BELIEF_EVENTS = frozenset({"target", "eject", "configuration", "evacuation", "balance"})
 BELIEFS_SHOWN = 8  # of the latest about the targets and the configuration of the request
-RECENT_BELIEFS = 4096
+RECENT_BELIEFS = 4096  # lines about beliefs, of which the last before a request is wanted
 
 _STEP_WORDS = {
     "in-time": "an answer within the objective was expected",
--- a/src/cassiashore/_internal/cli/operator_client.py
+++ b/src/cassiashore/_internal/cli/operator_client.py
@@ -14,8 +14,8 @@
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.http_client import connect, request_head
 
-CALL_SECONDS = 15.0
-MAX_ANSWER_BYTES = 32 << 20
+CALL_SECONDS = 15.0  # longer than a change may take to be in force
+MAX_ANSWER_BYTES = 32 << 20  # a catalogue of the largest size, as text
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiashore/_internal/cli/output.py
+++ b/src/cassiashore/_internal/cli/output.py
@@ -7,9 +7,9 @@
 from collections.abc import Sequence
 from typing import Any, NoReturn
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNKNOWN = 3
+EXIT_REFUSED = 1  # the change was refused
+EXIT_USAGE = 2  # as shells and getopt have it
+EXIT_UNKNOWN = 3  # the outcome is not known
 
 
 def say(text: str) -> None:
--- a/src/cassiashore/_internal/dns/server.py
+++ b/src/cassiashore/_internal/dns/server.py
@@ -31,10 +31,10 @@
 logger = logging.getLogger(__name__)
 
 ZONE_SUFFIX = "services"
-CLIENT_SUBNET_OPTION = 8
-MAX_QUERY_BYTES = 4096
-PLAIN_ANSWER_BYTES = 512
-SRV_PRIORITY_STEP = 10
+CLIENT_SUBNET_OPTION = 8  # RFC 7871
+MAX_QUERY_BYTES = 4096  # the usual EDNS buffer size
+PLAIN_ANSWER_BYTES = 512  # RFC 1035, without EDNS
+SRV_PRIORITY_STEP = 10  # leaves room between priorities
 _BITS_BY_FAMILY = {1: 32, 2: 128}
 
 LookUp = Callable[[str, str], LookupAnswer | None]
--- a/src/cassiashore/_internal/entry/cluster.py
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -50,13 +50,13 @@
 
 logger = logging.getLogger(__name__)
 
-WATCHERS_PER_DOMAIN = 2
-STEP_SECONDS = 0.05
+WATCHERS_PER_DOMAIN = 2  # one may end
+STEP_SECONDS = 0.05  # a tenth of a heartbeat
 REGISTRATION_PREFIX = "instances/"
-REGISTRATION_SECONDS = 600.0
-ENDED_MEMBERS_KEPT = 32
-STORE_RETRY_SECONDS = 1.0
-WANTED_INTERVAL_SECONDS = 0.5
+REGISTRATION_SECONDS = 600.0  # registrations end with it if an instance is gone for good
+ENDED_MEMBERS_KEPT = 32  # for operators who ask what became of them
+STORE_RETRY_SECONDS = 1.0  # the store answers in milliseconds, or is away for longer
+WANTED_INTERVAL_SECONDS = 0.5  # a heartbeat
 
 MessageT = TypeVar("MessageT", bound=Message)
 _Handler = Callable[["Cluster", PeerLink, Any], None]
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -51,10 +51,10 @@
 
 logger = logging.getLogger(__name__)
 
-LOAD_CACHE_SECONDS = 0.02
-STOP_POLL_SECONDS = 0.02
-LEAVE_NOTICE_SECONDS = 0.5
-DEFAULT_STOP_SECONDS = 30.0
+LOAD_CACHE_SECONDS = 0.02  # loads change with each request
+STOP_POLL_SECONDS = 0.02  # a stop takes seconds
+LEAVE_NOTICE_SECONDS = 0.5  # a heartbeat, by which members learn of it
+DEFAULT_STOP_SECONDS = 30.0  # longer than the longest deadline
 DEFAULT_POLICY = "adaptive"
 
 
--- a/src/cassiashore/_internal/entry/prober.py
+++ b/src/cassiashore/_internal/entry/prober.py
@@ -22,9 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
-ROUND_SECONDS = 0.25
-PROBE_TIMEOUT_SECONDS = 1.0
-MAX_REPORT_BYTES = 16 * 1024
+ROUND_SECONDS = 0.25  # a fraction of the shortest probe interval
+PROBE_TIMEOUT_SECONDS = 1.0  # a target that answers later is of no use
+MAX_REPORT_BYTES = 16 * 1024  # a health report is short
 
 
 class HealthReport(msgspec.Struct):
--- a/src/cassiashore/_internal/http/api.py
+++ b/src/cassiashore/_internal/http/api.py
@@ -18,7 +18,7 @@
 from cassiashore._internal.store.client import StoreFault
 from cassiashore._internal.validation import fault_lines
 
-MAX_CATALOGUE_BYTES = 8 << 20
+MAX_CATALOGUE_BYTES = 8 << 20  # eight parts of the store's 1 MB
 _JSON = b"application/json"
 _METRICS = b"text/plain; version=0.0.4"
 
--- a/src/cassiashore/_internal/http/server.py
+++ b/src/cassiashore/_internal/http/server.py
@@ -11,8 +11,8 @@
 
 from cassiashore._internal.models.address import Address
 
-LISTEN_BACKLOG = 2048
-KEEP_ALIVE_SECONDS = 30
+LISTEN_BACKLOG = 2048  # all callers of an instance may come at once after a restart
+KEEP_ALIVE_SECONDS = 30  # longer than callers usually pause
 
 
 class HttpServer:
--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -27,7 +27,7 @@
 ROUND_TRIPS_TO_CONNECT = 4  # a target with a long accept queue answers late
 SHARE_OF_KEEP_ALIVE = 0.8  # of the idle time that a target promises; the rest is travel
 FRESH_IDLE_SECONDS = 4.0  # for what must not be repeated: an idle connection may be half closed
-MIN_IDLE_SECONDS = 0.5
+MIN_IDLE_SECONDS = 0.5  # below it, connections would be opened for each request
 SHARE_OF_FORGOTTEN = 0.5  # of the idle time after which a target had forgotten a connection
 _PASSED_STATUSES_OF_REFUSAL = frozenset({408, 421, 429, 503})
 
--- a/src/cassiashore/_internal/ingress/body.py
+++ b/src/cassiashore/_internal/ingress/body.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-HIGH_WATER_BYTES = 256 * 1024
+HIGH_WATER_BYTES = 256 * 1024  # of a body that is not read: some round trips on a link of 1 Gbit/s
 
 
 class BodyError(Exception):
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -43,12 +43,12 @@
 from cassiashore._internal.steering.tries import TryMemory
 
 PREFIX_BYTES = 64 * 1024  # bodies up to this are taken whole first, and can be sent again
-MAX_DEADLINE_DIGITS = 9
+MAX_DEADLINE_DIGITS = 9  # milliseconds: eleven days
 MAX_UNREACHABLE = 4  # targets that could not be reached, before a request is given up
 SILENCE_OBJECTIVES = 2.0  # objectives without an answer after which another target is asked
-MIN_SILENCE_SECONDS = 0.3
-NOT_READY_RETRY_SECONDS = 0.5
-NO_TARGET_RETRY_SECONDS = 0.5
+MIN_SILENCE_SECONDS = 0.3  # above the round trip between regions and a short queue
+NOT_READY_RETRY_SECONDS = 0.5  # a configuration is there about as long after a start
+NO_TARGET_RETRY_SECONDS = 0.5  # about the time for a change in the store to arrive
 SERVER_ERROR = 500
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
 
--- a/src/cassiashore/_internal/mirror/distance_probe.py
+++ b/src/cassiashore/_internal/mirror/distance_probe.py
@@ -14,9 +14,9 @@
 logger = logging.getLogger(__name__)
 
 FIRST_ROUNDS = 3  # soon after the start, to have the least of a few
-FIRST_INTERVAL_SECONDS = 1.0
+FIRST_INTERVAL_SECONDS = 1.0  # three rounds end before callers come
 INTERVAL_SECONDS = 20.0  # distances change with the routes of the network, seldom
-CONNECT_SECONDS = 1.0
+CONNECT_SECONDS = 1.0  # several times the longest round trip
 
 
 class DistanceProbe:
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -22,12 +22,12 @@
 
 WATCH_SECONDS = 0.8  # bounds the time until a silent connection is noticed, with the call's margin
 MIN_WATCH_INTERVAL_SECONDS = 0.4  # changes come in groups; each answered watch is a call
-FIRST_RETRY_SECONDS = 0.1
-MAX_RETRY_SECONDS = 0.25
-RELAY_SILENCE_SECONDS = 1.2
-IDLE_CHECK_SECONDS = 0.1
+FIRST_RETRY_SECONDS = 0.1  # a few answer times of the store
+MAX_RETRY_SECONDS = 0.25  # a drain must be known within seconds of the store's return
+RELAY_SILENCE_SECONDS = 1.2  # three beats
+IDLE_CHECK_SECONDS = 0.1  # a fraction of a beat
 BOOT_PATIENCE_SECONDS = 0.8  # for a copy from another instance, which costs the store nothing
-LEAST_READERS = 2
+LEAST_READERS = 2  # one may end
 OUTAGE_SECONDS = 0.6  # a failed call shorter ago than this is no outage yet
 
 
--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -14,10 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
-RENEWALS_PER_LEASE = 3
-FIRST_RETRY_SECONDS = 0.3
+RENEWALS_PER_LEASE = 3  # two may be lost
+FIRST_RETRY_SECONDS = 0.3  # a store that lost one answer takes the next
 MAX_RETRY_SECONDS = 1.2  # a refused call costs as much as an answered one
-STEP_SECONDS = 0.25
+STEP_SECONDS = 0.25  # how long a change of what is wanted may wait, beside its wake
 
 
 class Registration:
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -38,12 +38,12 @@
 # quiet watches and a beat. Older knowledge may miss changes.
 FRESH_SECONDS = 2 * WATCH_SECONDS + 0.4
 STALE_MS = 60_000  # told while the store cannot be followed
-REDIAL_SECONDS = 0.5
+REDIAL_SECONDS = 0.5  # an instance that starts again listens after half a second
 BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
-BOOT_POLL_SECONDS = 0.05
-MAX_SOURCES = 2
-BOOT_SOURCES = 3
-LINK_SILENCE_SECONDS = 2.0
+BOOT_POLL_SECONDS = 0.05  # a copy comes within some tens of milliseconds
+MAX_SOURCES = 2  # the one that sends changes, and one on standby
+BOOT_SOURCES = 3  # as many seeds as the settings name
+LINK_SILENCE_SECONDS = 2.0  # five beats: a stream that went silent without a reset
 BEHIND_SECONDS = 0.3  # that a standby source knows more than the one that sends the changes
 _LINK_ERRORS = (
     OSError,
--- a/src/cassiashore/_internal/models/address.py
+++ b/src/cassiashore/_internal/models/address.py
@@ -5,7 +5,7 @@
 import ipaddress
 from dataclasses import dataclass
 
-MAX_PORT = 65535
+MAX_PORT = 65535  # 16 bits
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -20,11 +20,11 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
 
-READ_HIGH_WATER_BYTES = 256 * 1024
-MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+READ_HIGH_WATER_BYTES = 256 * 1024  # some round trips on a link of 1 Gbit/s
+MAX_RESPONSE_HEAD_BYTES = 64 * 1024  # eight times what common servers allow
 _BODILESS_STATUSES = frozenset({204, 304})
 KEEP_ALIVE_PROBE_SECONDS = 1  # shortest that the kernel takes
-KEEP_ALIVE_PROBES = 3
+KEEP_ALIVE_PROBES = 3  # lost before a connection is given up
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -11,7 +11,7 @@
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.http_client import HttpConnection, connect
 
-DEFAULT_IDLE_SECONDS = 4.0
+DEFAULT_IDLE_SECONDS = 4.0  # below the 5 s after which common servers close idle connections
 
 
 class ConnectionPool:
--- a/src/cassiashore/_internal/observability/logs.py
+++ b/src/cassiashore/_internal/observability/logs.py
@@ -19,7 +19,7 @@
 
 DECISION_LOGGER = "cassiashore.decisions"
 FIELDS_ATTRIBUTE = "fields"
-WRITE_INTERVAL_SECONDS = 0.05
+WRITE_INTERVAL_SECONDS = 0.05  # lines are on the disk soon, at few wakes of the thread
 REQUEST_LINES_PER_SECOND = 300  # of one process: 90 KB/s at the usual length of a line
 
 
--- a/src/cassiashore/_internal/peers/gossip.py
+++ b/src/cassiashore/_internal/peers/gossip.py
@@ -20,8 +20,8 @@
 from cassiashore._internal.routing.domains import DomainTable
 from cassiashore._internal.store.client import ListedInstance
 
-MAX_GATEWAYS = 4
-MEMBERS_PER_BASE_INTERVAL = 8
+MAX_GATEWAYS = 4  # in a digest: two may end, and two share the callers
+MEMBERS_PER_BASE_INTERVAL = 8  # heartbeats to eight fit the control budget
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiashore/_internal/peers/link.py
+++ b/src/cassiashore/_internal/peers/link.py
@@ -20,10 +20,10 @@
 from cassiashore._internal.peers.messages import Hello, Identity, Message, Proof
 
 MAX_FRAME_BYTES = 16 << 20  # a copy of the store: some thousand entries, and values of 1 MB
-MAX_HANDSHAKE_FRAME_BYTES = 2048
-HANDSHAKE_SECONDS = 2.0
+MAX_HANDSHAKE_FRAME_BYTES = 2048  # an identity of some hundred bytes, from anyone who connects
+HANDSHAKE_SECONDS = 2.0  # several times the longest round trip
 SEND_BUFFER_BYTES = 32 << 20  # two whole frames
-NONCE_BYTES = 16
+NONCE_BYTES = 16  # 128 bits cannot be guessed
 _LENGTH = struct.Struct(">I")
 
 
--- a/src/cassiashore/_internal/peers/mesh.py
+++ b/src/cassiashore/_internal/peers/mesh.py
@@ -14,7 +14,7 @@
 
 logger = logging.getLogger(__name__)
 
-REDIAL_SECONDS = 0.5
+REDIAL_SECONDS = 0.5  # an instance that starts again listens after half a second
 _LINK_ERRORS = (OSError, asyncio.IncompleteReadError, ProtocolViolationError, TimeoutError)
 
 
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -11,7 +11,7 @@
 from cassiashore._internal.store.client import ListedInstance
 from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 1  # changes with the meaning of a message
 
 
 class _Message(msgspec.Struct, array_like=True, frozen=True):
--- a/src/cassiashore/_internal/peers/steward.py
+++ b/src/cassiashore/_internal/peers/steward.py
@@ -25,7 +25,7 @@
 
 logger = logging.getLogger(__name__)
 
-QUARANTINE_MARGIN_SECONDS = 0.1
+QUARANTINE_MARGIN_SECONDS = 0.1  # on top of the longest deadline: timers fire late
 
 
 class RightsSteward:
--- a/src/cassiashore/_internal/requests/claims.py
+++ b/src/cassiashore/_internal/requests/claims.py
@@ -20,9 +20,9 @@
 from cassiashore._internal.store.client import Conflict, Entry, StoreClient
 
 CLAIM_KEY_PREFIX = "claims/"
-CLAIM_RETENTION_SECONDS = 24 * 3600.0
-LEASE_ROTATION_SECONDS = 3600.0
-CLAIM_ATTEMPTS = 3
+CLAIM_RETENTION_SECONDS = 24 * 3600.0  # how long callers may send a key of their own again
+LEASE_ROTATION_SECONDS = 3600.0  # so that one lease does not hold the claims of a day
+CLAIM_ATTEMPTS = 3  # a lost answer and a conflict
 
 
 class ClaimValue(msgspec.Struct, frozen=True):
--- a/src/cassiashore/_internal/requests/ledger.py
+++ b/src/cassiashore/_internal/requests/ledger.py
@@ -15,6 +15,7 @@
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.net.http_client import Headers
 
+# Of an answer that a resend gets again; larger ones are told to have run, without the answer.
 MAX_KEPT_ANSWER_BYTES = 64 * 1024
 
 
--- a/src/cassiashore/_internal/requests/poison.py
+++ b/src/cassiashore/_internal/requests/poison.py
@@ -9,9 +9,9 @@
 
 import xxhash
 
-CRASH_LIMIT = 2
-FORGET_SECONDS = 600.0
-MAX_FINGERPRINTS = 4096
+CRASH_LIMIT = 2  # targets that one request may take down
+FORGET_SECONDS = 600.0  # callers have long given up by then
+MAX_FINGERPRINTS = 4096  # each some hundred bytes
 
 
 def fingerprint(service: str, method: str, path: str, body: bytes) -> int:
--- a/src/cassiashore/_internal/requests/retry.py
+++ b/src/cassiashore/_internal/requests/retry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-RETRY_BURST = 10.0
+RETRY_BURST = 10.0  # retries without any first try before them
 
 
 class RetryBudget:
--- a/src/cassiashore/_internal/routing/domains.py
+++ b/src/cassiashore/_internal/routing/domains.py
@@ -6,9 +6,9 @@
 
 from cassiashore._internal.peers.messages import DomainDigest, Gateway, ServiceLoad
 
-STALE_SECONDS = 6.0
-DOMAINS_PER_BASE_INTERVAL = 7
-FORGET_SECONDS = 3600.0
+STALE_SECONDS = 6.0  # six digest intervals
+DOMAINS_PER_BASE_INTERVAL = 7  # digests of seven fit the 4 KB a second of control
+FORGET_SECONDS = 3600.0  # far beyond any outage between failure domains that is steered through
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiashore/_internal/routing/finder.py
+++ b/src/cassiashore/_internal/routing/finder.py
@@ -16,9 +16,9 @@
 from cassiashore._internal.routing.outstanding import OutstandingRequests
 from cassiashore._internal.routing.places import Place, PlaceKind
 
-CACHE_SECONDS = 0.05
-PEER_ROUND_TRIP_SECONDS = 0.0005
-MILLISECOND = 0.001
+CACHE_SECONDS = 0.05  # a tenth of a heartbeat
+PEER_ROUND_TRIP_SECONDS = 0.0005  # within a failure domain
+MILLISECOND = 0.001  # in seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiashore/_internal/routing/health.py
+++ b/src/cassiashore/_internal/routing/health.py
@@ -4,14 +4,14 @@
 
 from dataclasses import dataclass
 
-EJECT_AFTER_FAILURES = 5
-FIRST_EJECTION_SECONDS = 1.0
-MAX_EJECTION_SECONDS = 30.0
-MAX_EJECTED_SHARE = 0.5
-SHED_PAUSE_SECONDS = 0.25
-LATENCY_WEIGHT = 0.2
-SLOW_START_SECONDS = 3.0
-DEFAULT_LATENCY_SECONDS = 0.005
+EJECT_AFTER_FAILURES = 5  # in a row: a target that fails half of its requests is seldom taken out
+FIRST_EJECTION_SECONDS = 1.0  # a process that crashed is back after some seconds
+MAX_EJECTION_SECONDS = 30.0  # so that a mended target is not forgotten
+MAX_EJECTED_SHARE = 0.5  # of the targets: when more look bad, the measurement is suspected
+SHED_PAUSE_SECONDS = 0.25  # about a usual answer time, after which a slot is free
+LATENCY_WEIGHT = 0.2  # of one answer: the mean of some five
+SLOW_START_SECONDS = 3.0  # how long targets are cold
+DEFAULT_LATENCY_SECONDS = 0.005  # before any answer: a target that does nothing
 
 
 @dataclass(slots=True)
--- a/src/cassiashore/_internal/routing/lookup.py
+++ b/src/cassiashore/_internal/routing/lookup.py
@@ -24,8 +24,8 @@
 
 IPV4_BLOCK_BITS = 24
 IPV6_BLOCK_BITS = 56
-SUMMARY_SECONDS = 0.25
-MAX_HOMES_KEPT = 10_000
+SUMMARY_SECONDS = 0.25  # half a heartbeat, by which loads change
+MAX_HOMES_KEPT = 10_000  # networks of callers; a thousand look-ups a second name fewer in 10 s
 
 COMFORT_BY_OBJECTIVE = {Objective.LATENCY: 0.85, Objective.HEADROOM: 0.6}
 
--- a/src/cassiashore/_internal/routing/policies.py
+++ b/src/cassiashore/_internal/routing/policies.py
@@ -14,9 +14,9 @@
 from cassiashore._internal.catalogue.schema import Objective
 from cassiashore._internal.routing.places import Place, PlaceKind
 
-HEADROOM_COMFORT = 0.6
-HEADROOM_WEIGHT_SECONDS = 0.25
-HERD_SPREAD = 0.1
+HEADROOM_COMFORT = 0.6  # of the slots: above it queues begin to form
+HEADROOM_WEIGHT_SECONDS = 0.25  # of cost when all slots are used: a usual answer time
+HERD_SPREAD = 0.1  # of the cost: less than places differ by
 
 
 class Policy(Protocol):
--- a/src/cassiashore/_internal/settings.py
+++ b/src/cassiashore/_internal/settings.py
@@ -11,8 +11,8 @@
 from cassiashore._internal.exceptions import InvalidFileError
 from cassiashore._internal.models.address import Address
 
-MIN_KEY_BYTES = 16
-HEARTBEATS_BEFORE_PAUSE = 2
+MIN_KEY_BYTES = 16  # 128 bits cannot be guessed
+HEARTBEATS_BEFORE_PAUSE = 2  # that may have been sent before a pause began
 
 
 class _Model(BaseModel):
--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -20,10 +20,10 @@
 
 from cassiashore._internal.steering.registry import RegisteredTarget
 
-ROUNDING = 0.05
+ROUNDING = 0.05  # of a share: instances must agree on it, and half a step
 STEP = 0.1  # share of keys moved at a time; once in ``STEP_SECONDS`` it stays below the shift cap
-STEP_SECONDS = 2.0
-MIN_SHARE = 0.1
+STEP_SECONDS = 2.0  # the window in which the shift cap is judged
+MIN_SHARE = 0.1  # one step: with nothing at home, nothing would show that there is room again
 FULL_LOAD = 0.8  # busy slots of a region above which keys move away
 LIGHT_LOAD = 0.45  # below which they come back
 NO_LOAD = 0.05  # of all slots; below it the load says nothing, as before callers come
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -17,8 +17,8 @@
 from cassiashore._internal.steering.carriers import InstanceInfo
 
 WINDOW_SECONDS = 1.15  # one second, and the spread of travel times that can press two windows
-MAX_SENDERS = 4
-OVERLAPPING_SETS = 2
+MAX_SENDERS = 4  # of a target: with more, the part of each rounds to nothing
+OVERLAPPING_SETS = 2  # while instances come and go: those of the old list, and of the new one
 
 
 def senders_to(
--- a/src/cassiashore/_internal/steering/load.py
+++ b/src/cassiashore/_internal/steering/load.py
@@ -6,7 +6,7 @@
 
 OTHERS_WEIGHT = 0.4  # of a new report, which is one moment of a load that varies
 OTHERS_HALF_LIFE_SECONDS = 1.5  # a few answer times: an old report says little
-SERVICE_TIME_WEIGHT = 0.15
+SERVICE_TIME_WEIGHT = 0.15  # of one answer: the mean of some seven at one target
 
 
 @dataclass(slots=True)
--- a/src/cassiashore/_internal/steering/overload.py
+++ b/src/cassiashore/_internal/steering/overload.py
@@ -14,9 +14,9 @@
 
 from cassiashore._internal.steering.placement import Estimate
 
-MIN_RETRY_SECONDS = 0.05
+MIN_RETRY_SECONDS = 0.05  # a shorter pause is over before a slot is free
 RETRY_SPREAD = 0.5  # of the advised pause, so that those turned away do not return together
-MAX_RETRY_SECONDS = 2.0
+MAX_RETRY_SECONDS = 2.0  # callers wait for a third of their time left at most
 DEADLINE_RESERVE = 0.95  # of the time left: an answer must also travel back
 IN_TIME_SHARE_BY_PRIORITY = (1.0, 0.95, 0.85)  # of the objective; the last is for all further ones
 FAVOURED_SHARE = 1.3  # of the objective: turned away again, the request would be lost
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -34,11 +34,11 @@
 RANKED_CANDIDATES = 4  # looked at before the least loaded of all
 WARM_SHARE = 0.4  # of the objective: answer time for a kept object before any was measured
 UNKNOWN_SHARE = 1.2  # of the objective: answer time for another object before any was measured
-TIME_WEIGHT = 0.05
+TIME_WEIGHT = 0.05  # of one answer: the mean of some twenty
 PREFERENCE = 1.15  # the first ranked is taken unless another is faster by more than this
 KEPT_KEYS = 64  # keys remembered for each target
 MIN_SLOWNESS = 2.0  # ratio to the service's mean from which a target counts as slow
-LEAST_LOADED_SAMPLE = 2
+LEAST_LOADED_SAMPLE = 2  # estimated beside the first: the power of two choices
 OVERFLOW_UTILISATION = 0.8  # of the next ranked targets, up to which they take another's key
 SPREAD_UTILISATION = 0.5  # of any other target
 
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -13,7 +13,7 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_REMEMBERED_REPORTS = 4096
+MAX_REMEMBERED_REPORTS = 4096  # of ids, several times the targets of the largest deployment
 SURE_SHARE = 0.6  # of a service's targets that suffices without the doubtful ones
 COLD_MARGIN_SECONDS = 0.5  # reports travel through the store before they are read
 
--- a/src/cassiashore/_internal/steering/tries.py
+++ b/src/cassiashore/_internal/steering/tries.py
@@ -20,7 +20,7 @@
 FADING = 0.999  # of the longest time at each request, so that a single long one is forgotten
 MAX_FAVOURED_SHARE = 0.15  # of a route's requests: with more later tries, none is favoured
 SHARE_WEIGHT = 0.02  # of one request in that share: it follows within some fifty requests
-MAX_ROUTES = 4096
+MAX_ROUTES = 4096  # several times the routes of the largest deployment
 
 
 @dataclass(slots=True)
--- a/src/cassiashore/_internal/store/client.py
+++ b/src/cassiashore/_internal/store/client.py
@@ -16,11 +16,11 @@
 from cassiashore._internal.net.http_call import CallFault, HttpCaller
 from cassiashore._internal.net.http_client import ResponseHead
 
-MAX_VALUE_BYTES = 1 << 20
-MAX_LISTING_BYTES = 8 << 20
+MAX_VALUE_BYTES = 1 << 20  # the store's limit
+MAX_LISTING_BYTES = 8 << 20  # some ten thousand keys
 ValueT = TypeVar("ValueT")
 
-STORE_CONNECTIONS = 16
+STORE_CONNECTIONS = 16  # calls at the same time, a waiting watch included
 REVISION_HEADER = b"x-revision"
 WATCH_MARGIN_SECONDS = 2.0
 
--- a/src/cassiashore/platform/__main__.py
+++ b/src/cassiashore/platform/__main__.py
@@ -17,9 +17,9 @@
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.settings import PlatformSettings, read_settings, settings_path
 
-EXIT_USAGE = 2
-EXIT_BROKEN = 70
-LOG_BUFFER_LINES = 5_000
+EXIT_USAGE = 2  # as shells and getopt have it
+EXIT_BROKEN = 70  # EX_SOFTWARE of sysexits.h
+LOG_BUFFER_LINES = 5_000  # 16 s at the most lines a second of requests
 
 
 def main() -> None:
--- a/src/cassiashore/platform/decoding.py
+++ b/src/cassiashore/platform/decoding.py
@@ -18,7 +18,7 @@
 
 _KIND_BY_WORD = {"safe": RequestKind.IDEMPOTENT, "unsafe": RequestKind.NON_IDEMPOTENT}
 _DRAINING_BY_WORD = {"ready": False, "draining": True}
-VERSION_DIGITS = 16
+VERSION_DIGITS = 16  # hexadecimal: more than any counter of 64 bits has
 
 
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -52,13 +52,13 @@
 POISON_CRASHES = 3  # crashes after which a request must reach no target
 CONNECTIONS_PER_TARGET = 64  # of one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
-MAINTENANCE_SECONDS = 5.0
+MAINTENANCE_SECONDS = 5.0  # half of the idle time after which targets close connections
 REFUSE_AFTER_SHARE = 0.45  # of the grace period: requests that come later could be cut off
 END_SHARE = 0.93  # of the grace period; the process ends before it is killed
 LEAVE_SECONDS = 2.0  # callers and the platform learn within this time that the instance leaves
-STOP_POLL_SECONDS = 0.05
+STOP_POLL_SECONDS = 0.05  # a hundredth of the grace period
 BOOT_SECONDS = 1.5  # to have a configuration, before callers are told that there is none
-BOOT_POLL_SECONDS = 0.01
+BOOT_POLL_SECONDS = 0.01  # a copy comes within some tens of milliseconds
 PEER_KEY = b"cassiashore"  # the platform gives no secret; docs/SECURITY.md
 DEFAULT_LIMITS = IngressLimits()  # until a configuration is in force
 
--- a/src/cassiashore/platform/standin.py
+++ b/src/cassiashore/platform/standin.py
@@ -17,7 +17,7 @@
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.steering.routes import IngressLimits
 
-MAX_PAGE_ITEMS = 50
+MAX_PAGE_ITEMS = 50  # a tenth of the store's, so that tests see pages
 LIMITS = IngressLimits(max_body_bytes=8 << 20, idle_seconds=60.0)
 _JSON = [(b"content-type", b"application/json")]
 
--- a/src/cassiashore/platform/store.py
+++ b/src/cassiashore/platform/store.py
@@ -29,9 +29,10 @@
 CONNECTIONS = 4  # a watch, a renewal, a write and one to spare
 CONNECT_SECONDS = 0.5  # an opening packet lost in a cut is repeated by a new attempt, not after 1 s
 CALL_SECONDS = 1.0  # an answer takes milliseconds; 50 times that when the store is slow
+# On top of the wait: a slow store answers a hundred times later than usual.
 WATCH_MARGIN_SECONDS = 0.6
-MAX_ANSWER_BYTES = 16 << 20
-MAX_PAGES = 200
+MAX_ANSWER_BYTES = 16 << 20  # 16 pages of the store's 1 MB
+MAX_PAGES = 200  # of about 500 keys: 100,000 keys
 EVERYTHING = ""
 ValueT = TypeVar("ValueT")
 _JSON = [(b"content-type", b"application/json")]
