Rank the keys of a service again only when something of that service changed

Cause: any change of any target or share invalidated the rankings of all services, and ranking takes a hash for each target and key. Measured distances, from which weights follow, invalidated nothing themselves; that they were taken in hung on those other changes. Change: the state of a service's rankings is its own changes, its own share, and a version of the distances.

--- a/src/cassiashore/_internal/steering/balance.py
+++ b/src/cassiashore/_internal/steering/balance.py
@@ -84,7 +84,6 @@
 
     def __init__(self, own_region: str) -> None:
         """Start with no service known."""
-        self.version = 0
         self._own_region = own_region
         self._initial_by_service: dict[str, float] = {}
         self._share_by_service: dict[str, float] = {}
@@ -107,9 +106,7 @@
     def decided(self, share_by_service: dict[str, float]) -> None:
         """Take over what the deciding instance of the region says."""
         for service, share in share_by_service.items():
-            if self._share_by_service.get(service) != share:
-                self._share_by_service[service] = min(1.0, max(MIN_SHARE, share))
-                self.version += 1
+            self._share_by_service[service] = min(1.0, max(MIN_SHARE, share))
 
     def start_from(
         self,
@@ -121,10 +118,7 @@
         """Take in the room of a region, which counts until something was decided."""
         here = sum(t.report.slots for t in targets if t.region == self._own_region)
         slots = sum(t.report.slots for t in targets)
-        initial = initial_share(here, slots, own_instances, all_instances)
-        if self._initial_by_service.get(service) != initial:
-            self._initial_by_service[service] = initial
-            self.version += 1
+        self._initial_by_service[service] = initial_share(here, slots, own_instances, all_instances)
 
     def decide(self, service: str, targets: list[RegisteredTarget], now: float) -> float | None:
         """Return the part for the load of a service's targets, or None to leave it as it is."""
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -92,7 +92,7 @@
 
 @dataclass(slots=True)
 class _Rankings:
-    state: tuple[int, int]
+    state: tuple[int, float, int]
     order_by_key: OrderedDict[str, list[RegisteredTarget]] = field(default_factory=OrderedDict)
 
 
@@ -127,7 +127,11 @@
         """Return the targets for a key that take work, best first; only in ``homes`` if any."""
         group = (service, objective, homes)
         rankings = self._rankings_by_service.get(group)
-        state = (self._registry.epoch, self._balance.version)
+        state = (
+            self._registry.epoch_by_service[service],
+            self._balance.share(service),
+            self._distances.version,
+        )
         if rankings is None or rankings.state != state:
             rankings = _Rankings(state)
             self._rankings_by_service[group] = rankings
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -94,7 +95,7 @@
         self.evacuated: set[str] = set()
         self.cold_seconds_of: Callable[[str], float] = lambda service: 0.0
         self.on_change: Callable[[str, RegisteredTarget], None] = lambda what, target: None
-        self.epoch = 0
+        self.epoch_by_service: Counter[str] = Counter()
         self._make_pool = make_pool
         self._monotonic = monotonic
         self._id_by_address: dict[Address, str] = {}
@@ -215,5 +216,5 @@
             del self._last_report_by_id[oldest]
 
     def _changed(self, what: str, target: RegisteredTarget) -> None:
-        self.epoch += 1
+        self.epoch_by_service[target.report.service] += 1
         self.on_change(what, target)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -274,3 +274,34 @@
     busy = best_of(placement.estimates(list(ranked), "stock", "k", OBJECTIVE))
     decision = decide(busy, urgency, rng)
     assert decision.verdict is Verdict.TURN_AWAY and decision.retry_after > 0
+
+
+def test_a_change_of_one_service_leaves_the_rankings_of_the_others_as_they_are() -> None:
+    """Ranking takes a hash for each target; with thousands, all keys of all services at each
+    change would take longer than the time between two changes."""
+    clock = Clock()
+    targets = with_targets(clock, near=4, far=0)
+    balance = RegionBalance("erie")
+    placement = place(targets, clock, balance)
+    before = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    targets.apply(report("o-1", address="127.0.0.1:9100", service="orders"))
+    balance.decided({"orders": 0.5})
+    assert placement.ranked("stock", "k", OBJECTIVE, NOWHERE) is before
+    targets.apply(report("t-9", address="127.0.0.1:9101", service="stock"))
+    assert placement.ranked("stock", "k", OBJECTIVE, NOWHERE) is not before
+    before = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    balance.decided({"stock": 0.5})
+    assert placement.ranked("stock", "k", OBJECTIVE, NOWHERE) is not before
+
+
+def test_rankings_follow_a_measured_distance_but_not_each_sample() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=2, far=2)
+    distances = RegionDistances("erie")
+    placement = Placement(targets, distances, RegionBalance("erie"), "erie", clock)
+    before = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    distances.measured("huron", 0.02)
+    after = placement.ranked("stock", "k", OBJECTIVE, NOWHERE)
+    assert after is not before
+    distances.measured("huron", 0.0195)
+    assert placement.ranked("stock", "k", OBJECTIVE, NOWHERE) is after
