Settle writes of own keys whose answers are lost or come late; tell when the registration cannot be kept

Found by a new model of an instance's own keys (spec/instance_keys.py): a value was written, another one took effect without an answer, the first was wanted again and seemed to stand. By the same reasoning a late write could bring back a key that was not wanted any more. Each has a test that failed before. Beside it, from reading the change as a newcomer: an ejection after failing answers wrote no line, failed renewals only at a level that is not logged, and explain passed over unreadable lines in silence.

--- a/src/cassiashore/_internal/cli/explain.py
+++ b/src/cassiashore/_internal/cli/explain.py
@@ -120,6 +120,7 @@
 
 def _decoded(source: str, lines: Iterable[str]) -> Iterator[LogLine]:
     """Decode JSON lines; what stands before the first brace, as a collector puts it, is skipped."""
+    unreadable = 0
     for line in lines:
         _, brace, rest = line.partition("{")
         if not brace:
@@ -127,6 +128,9 @@
         try:
             fields = msgspec.json.decode(brace + rest)
         except msgspec.DecodeError:
+            unreadable += 1
             continue
         if isinstance(fields, dict):
             yield LogLine(source, fields)
+    if unreadable:
+        say(f"{source}: {unreadable} lines could not be read")
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -81,6 +81,7 @@
         self._poison = poison
         self._make_budget = make_budget
         self._decisions = decisions
+        self._metrics = metrics
         self._answering = Answering(edge, decisions, metrics)
         self._rng = rng
         self._split = SplitChooser()
@@ -390,19 +391,27 @@
         if failure.reason in _CRASH_REASONS and failure.outcome is Outcome.UNKNOWN:
             self._poison.record_crash(call.fingerprint, target.target_id)
         if target.health.failed() or failure.reason is Reason.TARGET_UNREACHABLE:
-            target.health.eject(time.monotonic())
-            self._decisions.write(
-                "eject",
-                target=target.target_id,
-                why=failure.detail,
-                until_s=round(target.health.ejected_until - time.monotonic(), 2),
-            )
+            self._eject(target, failure.detail)
+
+    def _eject(self, target: RegisteredTarget, why: str) -> None:
+        """Send a target nothing for a while."""
+        now = time.monotonic()
+        target.health.eject(now)
+        domain = target.report.failure_domain
+        self._decisions.write(
+            "eject",
+            target=target.target_id,
+            failure_domain=domain,
+            why=why,
+            for_s=round(target.health.ejected_until - now, 2),
+        )
+        self._metrics.ejections.labels(target.report.service, domain).inc()
 
     def _note_answer(self, call: Call, chosen: Estimate, answer: TargetAnswer) -> None:
         target = chosen.target
         if answer.head.status >= SERVER_ERROR:
             if target.health.failed():
-                target.health.eject(time.monotonic())
+                self._eject(target, f"status {answer.head.status} again and again")
             return
         self._poison.acquit(call.fingerprint)
         target.health.succeeded(answer.seconds)
--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -24,7 +24,8 @@
     """Keeps keys of this instance in the store for as long as it runs.
 
     A write whose answer was lost is settled by reading the key: it is this instance's if it holds
-    the value that was written, since the key contains the incarnation.
+    the value that was written, since the key contains the incarnation. Such a write may also take
+    effect later, when the key is no longer wanted; then the mirror shows it, and it is removed.
     """
 
     def __init__(
@@ -45,10 +46,13 @@
         self._lease_id = 0
         self._renewed_at = float("-inf")
         self._written_by_key: dict[str, tuple[bytes, int]] = {}
+        self._ever_wanted: set[str] = set()
+        self._failing_since: float | None = None
         self._wake = asyncio.Event()
 
     def put(self, key: str, value: bytes | None) -> None:
         """Want a key with a value, or gone."""
+        self._ever_wanted.add(key)
         if value is None:
             self.wanted_by_key.pop(key, None)
         elif self.wanted_by_key.get(key) != value:
@@ -60,6 +64,7 @@
         while True:
             if await self._step():
                 self.retry_seconds = FIRST_RETRY_SECONDS
+                self._note_working()
                 await self._pause(STEP_SECONDS)
             else:
                 await asyncio.sleep(self.retry_seconds)
@@ -69,6 +74,7 @@
         """Remove the keys by ending the lease, once and without waiting long."""
         self.wanted_by_key.clear()
         self._written_by_key.clear()
+        self._ever_wanted.clear()
         if self._lease_id:
             ended = await self._store.end_lease(self._lease_id)
             if isinstance(ended, Err):
@@ -84,6 +90,7 @@
             return
 
     async def _step(self) -> bool:
+        self._notice_strays()
         if not self.wanted_by_key and not self._written_by_key:
             return True
         if not await self._ensure_lease():
@@ -110,14 +117,12 @@
                 self._renewed_at = now
                 return True
             if not isinstance(renewed.err_value, LeaseLost):
-                logger.debug("renewing the lease failed: %s", renewed.err_value.detail)
-                return False
+                return self._failed("renewing the lease", renewed.err_value.detail)
             logger.warning("the lease of the registration was lost")
             self._forget_lease()
         granted = await self._store.grant_lease(self._lease_seconds)
         if isinstance(granted, Err):
-            logger.debug("no lease: %s", granted.err_value.detail)
-            return False
+            return self._failed("asking for a lease", granted.err_value.detail)
         self._lease_id = granted.ok_value.lease_id
         self._renewed_at = now
         return True
@@ -130,7 +135,8 @@
     def _notice_losses(self) -> None:
         """Write again what the mirror shows to be gone although it was written."""
         for key, (_, revision) in list(self._written_by_key.items()):
-            if self._mirror.revision > revision and key not in self._mirror.item_by_key:
+            is_seen = 0 < revision < self._mirror.revision
+            if is_seen and key not in self._mirror.item_by_key:
                 logger.warning('registered key "%s" is gone from the store', key)
                 self._forget_lease()
                 return
@@ -146,17 +152,16 @@
             self._forget_lease()
             return False
         if isinstance(fault, TransactionRefused):
+            # The store names only keys that stand; one that is not named does not exist.
             current = next((c for c in fault.current if c.key == key), None)
-            stands = current is not None and current.value is not None
-            assert current is None or current.value is None or stands
             if current is not None and current.value == value:
                 self._written_by_key[key] = (value, current.revision)
                 return True
-            revision = current.revision if current is not None and stands else 0
-            self._written_by_key[key] = (b"", revision)
+            self._written_by_key[key] = (b"", current.revision if current is not None else 0)
             return False
-        logger.debug("writing %s failed: %s", key, fault.detail)
-        return False
+        # It may have taken effect: what stands is not known, whatever is wanted next.
+        self._written_by_key[key] = (b"", expected)
+        return self._failed(f'writing key "{key}"', fault.detail)
 
     async def _delete(self, key: str) -> bool:
         revision = self._written_by_key[key][1]
@@ -164,4 +169,25 @@
         if isinstance(outcome, Ok) or isinstance(outcome.err_value, TransactionRefused | LeaseLost):
             self._written_by_key.pop(key, None)
             return True
+        return self._failed(f'removing key "{key}"', outcome.err_value.detail)
+
+    def _notice_strays(self) -> None:
+        """Want keys removed that stand although they are not wanted any more."""
+        for key in self._ever_wanted - self.wanted_by_key.keys() - self._written_by_key.keys():
+            item = self._mirror.item_by_key.get(key)
+            if item is not None:
+                logger.warning('key "%s" was written late and is removed', key)
+                self._written_by_key[key] = (b"", item.revision)
+
+    def _failed(self, what: str, detail: str) -> bool:
+        """Tell once that the registration cannot be kept, until it can again."""
+        if self._failing_since is None:
+            self._failing_since = self._monotonic()
+            logger.warning("the registration cannot be kept: %s: %s", what, detail)
         return False
+
+    def _note_working(self) -> None:
+        if self._failing_since is not None:
+            seconds = self._monotonic() - self._failing_since
+            logger.info("the registration is kept again after %.2f s", seconds)
+            self._failing_since = None
--- a/src/cassiashore/_internal/observability/metrics.py
+++ b/src/cassiashore/_internal/observability/metrics.py
@@ -59,6 +59,12 @@
         self.pauses = Counter(
             "cassiashore_pauses", "Pauses after which all rights were dropped", registry=registry
         )
+        self.ejections = Counter(
+            "cassiashore_ejections",
+            "Targets that get nothing for a while",
+            ["service", "failure_domain"],
+            registry=registry,
+        )
         self.control_bytes = Gauge(
             "cassiashore_control_bytes", "Bytes sent to peers", registry=registry
         )
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
+import pytest
 
 from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
@@ -284,3 +286,61 @@
             await until(lambda: node.instances.load_of(own) == 0)
 
     run(test)
+
+
+def test_a_write_that_takes_effect_when_it_is_no_longer_wanted_is_undone(tmp_path: Path) -> None:
+    """A call without an answer may be executed seconds later."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            key = f"cassiashore/load/{node.instances.own_incarnation}"
+            node.registration.put(key, b"1")
+            node.registration.put(key, None)
+            await until(lambda: not node.registration.wanted_by_key.get(key))
+            lease = next(i.lease for k, i in store.item_by_key.items() if "instances/" in k)
+            store.put(key, b"1", lease)
+            await until(lambda: key in node.mirror.item_by_key)
+            await until(lambda: key not in store.item_by_key)
+
+    run(test)
+
+
+def test_a_registration_that_cannot_be_kept_is_told_once_and_when_it_can_again(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            store.faults.is_down = True
+            await until(lambda: node.registration.retry_seconds == MAX_RETRY_SECONDS)
+            store.faults.is_down = False
+            await until(lambda: "is kept again after" in caplog.text)
+        assert caplog.text.count("cannot be kept") == 1
+
+    with caplog.at_level(logging.INFO):
+        run(test)
+
+
+def test_a_value_that_is_wanted_again_after_a_lost_answer_is_written_again(tmp_path: Path) -> None:
+    """Found by the model: the other value had taken effect, and the first one seemed to stand."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            key = f"cassiashore/load/{node.instances.own_incarnation}"
+
+            def stands(value: bytes) -> bool:
+                item = store.item_by_key.get(key)
+                return item is not None and item.value == value
+
+            node.registration.put(key, b"1")
+            await until(lambda: node.registration._written_by_key.get(key, (b"", 0))[0] == b"1")
+            store.faults.loses_answers_of = "kv-txn"
+            node.registration.put(key, b"2")
+            await until(lambda: stands(b"2"))
+            node.registration.put(key, b"1")
+            store.faults.loses_answers_of = ""
+            await until(lambda: stands(b"1"))
+
+    run(test)
--- a/tests/unit/test_specifications.py
+++ b/tests/unit/test_specifications.py
@@ -15,7 +15,16 @@
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.requests.ledger import KeyLedger, Known, Started
 from cassiashore._internal.steering.registry import TargetRegistry
-from spec import activation, claims, cold_senders, mirror, registrations, rights, tickets
+from spec import (
+    activation,
+    claims,
+    cold_senders,
+    instance_keys,
+    mirror,
+    registrations,
+    rights,
+    tickets,
+)
 from tests.lib import builders, steering_builders
 
 REFUTATION_STATES = 30_000
@@ -26,6 +35,7 @@
     (mirror, mirror.MirrorVariant),
     (registrations, registrations.RegistryVariant),
     (cold_senders, cold_senders.ColdVariant),
+    (instance_keys, instance_keys.KeyVariant),
 ]
 RIGHTS_REFUTED_BY = {
     "agree_while_holding": "two instances, crashes and pauses",
