--- a/lab/platform_face.py
+++ b/lab/platform_face.py
@@ -31,6 +31,7 @@
 from cassiashore._internal.steering.routes import IngressLimits
 from cassiashore.platform.settings import SETTINGS_VARIABLE
 from cassiashore.platform.standin import StandinStore
+from cassiashore.platform.wire import EDGE_HEADERS
 from lab.platform_documents import entry, manifest_of
 
 CALLERS = 16
@@ -81,9 +82,9 @@
 
 async def _answer(request: IngressRequest, responder: Responder) -> None:
     headers = [
-        (b"x-cassiashore-request-id", request.header(b"x-cassiashore-request-id") or b""),
-        (b"x-cassiashore-response-stamp", b"s"),
-        (b"x-cassiashore-server-load", b"1,0,64"),
+        (EDGE_HEADERS.request_id, request.header(EDGE_HEADERS.request_id) or b""),
+        (EDGE_HEADERS.stamp, b"s"),
+        (EDGE_HEADERS.load, b"1,0,64"),
     ]
     responder.send_whole(200, headers, b"ok")
 
@@ -144,8 +145,8 @@
         key = rng.randrange(80)
         headers = [
             (b"host", b"shop.example"),
-            (b"x-cassiashore-request-id", b"%x" % rng.getrandbits(64)),
-            (b"cookie", b"X-Cassiashore-Affinity-Key=%d" % key),
+            (EDGE_HEADERS.request_id, b"%x" % rng.getrandbits(64)),
+            (b"cookie", b"%b=%d" % (EDGE_HEADERS.affinity_cookie, key)),
         ]
         begun = time.monotonic()
         connection.start_exchange(request_head("GET", f"/a1/{key}", headers))
--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -9,6 +9,7 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.http_client import Headers, HttpConnection, connect, request_head
+from cassiashore.platform.wire import EDGE_HEADERS
 from lab.soak.promises import Attempt, Judge
 from lab.soak.world import Instance, World
 
@@ -80,8 +81,8 @@
                 sent_at,
                 time.monotonic(),
                 status,
-                b"x-cassiashore-response-stamp" in headers,
-                headers.get(b"x-cassiashore-request-id", b"").decode(),
+                EDGE_HEADERS.stamp in headers,
+                headers.get(EDGE_HEADERS.request_id, b"").decode(),
                 content,
             )
         )
@@ -97,9 +98,9 @@
     def _head(self, request_id: str, path: str, is_unsafe: bool, body: bytes) -> bytes:
         headers: Headers = [
             (b"host", b"shop.example"),
-            (b"x-cassiashore-request-id", request_id.encode()),
-            (b"x-cassiashore-deadline-ms", b"%d" % int(DEADLINE_SECONDS * 1000)),
-            (b"cookie", b"X-Cassiashore-Affinity-Key=%d" % self._rng.randrange(KEYS)),
+            (EDGE_HEADERS.request_id, request_id.encode()),
+            (EDGE_HEADERS.deadline_ms, b"%d" % int(DEADLINE_SECONDS * 1000)),
+            (b"cookie", b"%b=%d" % (EDGE_HEADERS.affinity_cookie, self._rng.randrange(KEYS))),
         ]
         if is_unsafe:
             headers.append((b"content-length", b"%d" % len(body)))
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -14,6 +14,7 @@
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.steering.routes import IngressLimits
+from cassiashore.platform.wire import EDGE_HEADERS
 from lab.platform_documents import entry
 
 LIMITS = IngressLimits(idle_seconds=8.0)
@@ -103,8 +104,8 @@
         )
 
     async def _handle(self, request: IngressRequest, responder: Responder) -> None:
-        request_id = (request.header(b"x-cassiashore-request-id") or b"").decode()
-        expected = request.header(b"x-cassiashore-expect-instance")
+        request_id = (request.header(EDGE_HEADERS.request_id) or b"").decode()
+        expected = request.header(EDGE_HEADERS.expect_target)
         if expected is not None and expected.decode() != self.target_id:
             responder.send_whole(421, self._headers(request_id, ran=False), b"")
             return
@@ -149,8 +150,8 @@
     def _headers(self, request_id: str, *, ran: bool) -> list[tuple[bytes, bytes]]:
         load = f"{self._running},{self._waiting},{self.slots}".encode()
         headers = [
-            (b"x-cassiashore-request-id", request_id.encode()),
-            (b"x-cassiashore-server-load", load),
+            (EDGE_HEADERS.request_id, request_id.encode()),
+            (EDGE_HEADERS.load, load),
         ]
-        mark = b"x-cassiashore-response-stamp" if ran else b"x-cassiashore-not-executed"
+        mark = EDGE_HEADERS.stamp if ran else EDGE_HEADERS.not_run
         return [*headers, (mark, b"1")]
--- a/tests/unit/test_platform_boundary.py
+++ b/tests/unit/test_platform_boundary.py
@@ -29,6 +29,12 @@
     assert found == []
 
 
+def test_experiments_take_the_names_of_headers_from_the_adapter() -> None:
+    header = re.compile("x-cassiashore-", re.IGNORECASE)
+    files = (SOURCE.parents[1] / "lab").rglob("*.py")
+    assert [str(file) for file in files if header.search(file.read_text())] == []
+
+
 def test_the_adapter_hides_no_module_of_the_standard_library() -> None:
     import platform
 
