Serve downloads; let a part of the configuration that cannot be read harm only itself

Cause: a route of kind "download" was unknown to the decoder, which refused the whole configuration, so no request was served on a deployment that has one. One word that is not known, in one route, ended the service for all.

Change: downloads are a kind of their own that may be repeated. An unknown kind runs at most once. A route that cannot be read, or names a service that cannot, answers 503 with "not run", never 404; the version counts as in force for all other routes. Limits that cannot be read stay as they were. Each such part is named in one log line.

Ruled out: keeping the former version of such a route, which would go on doing what operators have changed.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -39,7 +39,7 @@
 from cassiashore._internal.steering.placement import Estimate, Placement, best_of
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
-from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser
+from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
 from cassiashore._internal.steering.tries import TryMemory
 
 PREFIX_BYTES = 64 * 1024  # bodies up to this are taken whole first, and can be sent again
@@ -49,6 +49,7 @@
 MIN_SILENCE_SECONDS = 0.3  # above the round trip between regions and a short queue
 NOT_READY_RETRY_SECONDS = 0.5  # a configuration is there about as long after a start
 NO_TARGET_RETRY_SECONDS = 0.5  # about the time for a change in the store to arrive
+UNREADABLE_RETRY_SECONDS = 2.0  # until operators have corrected the route; less wins nothing
 SERVER_ERROR = 500
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
 
@@ -110,6 +111,12 @@
             failure = Failure.not_run(Reason.UNKNOWN_ROUTE, "no route matches host and path")
             self._answering.refuse(request, responder, failure, version=table.version)
             return
+        if isinstance(route, UnreadableRoute):
+            detail = f'route "{route.name}" cannot be followed'
+            failure = Failure.not_run(Reason.UNREADABLE_ROUTE, detail)
+            pause = UNREADABLE_RETRY_SECONDS
+            self._answering.refuse(request, responder, failure, pause, version=table.version)
+            return
         if self.refuses_new:
             failure = Failure.not_run(Reason.STOPPING, "this instance is stopping")
             self._answering.refuse(request, responder, failure, 0.0, version=table.version)
--- a/src/cassiashore/_internal/models/outcome.py
+++ b/src/cassiashore/_internal/models/outcome.py
@@ -42,6 +42,7 @@
     TURNED_AWAY = "turned-away"
     REPEAT_BUDGET = "repeat-budget"
     UNKNOWN_ROUTE = "unknown-route"
+    UNREADABLE_ROUTE = "unreadable-route"
     ANOTHER_TARGET = "another-target"
     BAD_ANSWER = "bad-answer"
     NO_TARGET = "no-target"
--- a/src/cassiashore/_internal/proxy/statuses.py
+++ b/src/cassiashore/_internal/proxy/statuses.py
@@ -30,6 +30,7 @@
     Reason.TURNED_AWAY: 503,
     Reason.REPEAT_BUDGET: 503,
     Reason.UNKNOWN_ROUTE: 404,
+    Reason.UNREADABLE_ROUTE: 503,
     Reason.ANOTHER_TARGET: 503,
     Reason.BAD_ANSWER: 502,
     Reason.NO_TARGET: 503,
--- a/src/cassiashore/_internal/steering/routes.py
+++ b/src/cassiashore/_internal/steering/routes.py
@@ -8,10 +8,11 @@
 
 
 class RequestKind(Enum):
-    """What may be repeated."""
+    """What may be repeated, and for downloads also that answers are large."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
+    DOWNLOAD = "download"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,20 @@
     @property
     def is_idempotent(self) -> bool:
         """Tell whether a request may run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT
+        return self.kind is not RequestKind.NON_IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableRoute:
+    """A route that is in force but cannot be followed; its requests are refused as not run.
+
+    Without a readable ``prefix`` it may concern every path of its host that no other route takes,
+    and without a readable ``host`` every such request.
+    """
+
+    name: str
+    host: str | None
+    prefix: str | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,28 +89,43 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """One version of all routes, services and limits."""
+    """One version of all routes, services and limits.
+
+    ``faults`` says which parts could not be read. ``placeless`` is a route that may concern any
+    host.
+    """
 
     version: int
-    route_by_prefix_by_host: Mapping[str, Mapping[str, Route]]
+    route_by_prefix_by_host: Mapping[str, Mapping[str, Route | UnreadableRoute]]
     rule_by_service: Mapping[str, ServiceRule]
     limits: IngressLimits = field(default_factory=IngressLimits)
+    placeless: UnreadableRoute | None = None
+    faults: tuple[str, ...] = ()
 
     @classmethod
     def build(
         cls,
         version: int,
-        routes: Iterable[Route],
+        routes: Iterable[Route | UnreadableRoute],
         rules: Iterable[ServiceRule],
         limits: IngressLimits,
+        faults: Iterable[str] = (),
     ) -> RouteTable:
         """Index routes by host and prefix."""
-        by_host: dict[str, dict[str, Route]] = {}
-        for route in routes:
-            by_host.setdefault(route.host, {})[route.prefix] = route
-        return cls(version, by_host, {rule.name: rule for rule in rules}, limits)
-
-    def match(self, host: str, path: str) -> Route | None:
+        by_host: dict[str, dict[str, Route | UnreadableRoute]] = {}
+        placeless: UnreadableRoute | None = None
+        unreadable_last = sorted(routes, key=lambda r: isinstance(r, UnreadableRoute))
+        for route in unreadable_last:
+            if isinstance(route, Route):
+                by_host.setdefault(route.host, {})[route.prefix] = route
+            elif route.host is not None:
+                by_host.setdefault(route.host, {}).setdefault(route.prefix or "/", route)
+            else:
+                placeless = route
+        rule_by_service = {rule.name: rule for rule in rules}
+        return cls(version, by_host, rule_by_service, limits, placeless, tuple(faults))
+
+    def match(self, host: str, path: str) -> Route | UnreadableRoute | None:
         """Return the route of the host with the longest prefix that begins the path.
 
         Prefixes begin and end with a slash, so only the path's own cuts at slashes can match.
@@ -108,21 +137,19 @@
         >>> [getattr(table.match("h", p), "name", None) for p in ("/a/b/c", "/a/bc", "/a")]
         ['/a/b/', '/a/', None]
         """
-        route_by_prefix = self.route_by_prefix_by_host.get(host)
-        if route_by_prefix is None:
-            return None
+        route_by_prefix = self.route_by_prefix_by_host.get(host, {})
         cut = path.rfind("/")
         while cut >= 0:
             route = route_by_prefix.get(path[: cut + 1])
             if route is not None:
                 return route
             cut = path.rfind("/", 0, cut)
-        return None
+        return self.placeless
 
     def home_regions_of(self, host: str) -> frozenset[str]:
         """Return the regions in which every route of a host that has homes may run."""
-        homes = [r.home_regions for r in self.route_by_prefix_by_host.get(host, {}).values()]
-        bound = [regions for regions in homes if regions]
+        routes = self.route_by_prefix_by_host.get(host, {}).values()
+        bound = [r.home_regions for r in routes if isinstance(r, Route) and r.home_regions]
         return frozenset.intersection(*bound) if bound else frozenset()
 
 
--- a/src/cassiashore/platform/changes.py
+++ b/src/cassiashore/platform/changes.py
@@ -67,8 +67,10 @@
                 "configuration %08x ignored: %08x is in force", table.version, current.version
             )
             return
+        for fault in table.faults:
+            logger.error("configuration %08x: %s", table.version, fault)
         self.forwarder.apply(table)
-        self._decisions.write("configuration", version=table.version)
+        self._decisions.write("configuration", version=table.version, faults=len(table.faults))
 
     def _target_changed(self, target_id: str, value: bytes | None) -> None:
         if value is None:
--- a/src/cassiashore/platform/decoding.py
+++ b/src/cassiashore/platform/decoding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -14,9 +16,14 @@
     RouteTable,
     ServiceRule,
     SplitPart,
+    UnreadableRoute,
 )
 
-_KIND_BY_WORD = {"safe": RequestKind.IDEMPOTENT, "unsafe": RequestKind.NON_IDEMPOTENT}
+_KIND_BY_WORD = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.NON_IDEMPOTENT,
+    "download": RequestKind.DOWNLOAD,
+}
 _DRAINING_BY_WORD = {"ready": False, "draining": True}
 VERSION_DIGITS = 16  # hexadecimal: more than any counter of 64 bits has
 
@@ -60,10 +67,12 @@
 
 
 class _Manifest(_Wire, frozen=True):
+    """The whole document; its parts are decoded one by one, so that a bad one harms no other."""
+
     version: str
     routes: dict[str, msgspec.Raw]
-    services: dict[str, _Service]
-    limits: _Limits
+    services: dict[str, msgspec.Raw]
+    limits: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Info(_Wire, frozen=True):
@@ -88,84 +97,143 @@
 
 _manifest_decoder = msgspec.json.Decoder(_Manifest)
 _route_decoder = msgspec.json.Decoder(_Route)
+_service_decoder = msgspec.json.Decoder(_Service)
+_limits_decoder = msgspec.json.Decoder(_Limits)
 _entry_decoder = msgspec.json.Decoder(_Entry)
+_REQUIRED_LIMITS = ("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s")
+
+
+@dataclass(frozen=True, slots=True)
+class _DecodedRoute:
+    """A route as its bytes say it, and what could not be read in them."""
+
+    content: bytes
+    route: Route | UnreadableRoute
+    fault: str | None
 
 
 class ConfigurationDecoder:
     """Decodes the operators' configuration, version after version.
 
     A version mostly repeats the routes of the one before; those with the same bytes are taken over,
-    so that a change among a thousand routes does not hold up requests.
+    so that a change among a thousand routes does not hold up requests. A part that cannot be read
+    is named among the faults of the version and harms only what needs it.
     """
 
     def __init__(self) -> None:
         """Start with no version seen."""
-        self._known: dict[str, tuple[bytes, Route]] = {}
+        self._known: dict[str, _DecodedRoute] = {}
+        self._limits = IngressLimits()
 
     def decode(self, content: bytes) -> Result[RouteTable, str]:
-        """Decode a version; the error names the field that is wrong."""
+        """Decode a version; the error says why none of it can be used."""
         try:
             manifest = _manifest_decoder.decode(content)
             version = int(manifest.version, 16)
-            if len(manifest.version) > VERSION_DIGITS:
-                return Err(f'version "{manifest.version}" is too long')
-            known = {name: self._route(name, raw) for name, raw in manifest.routes.items()}
-            for name, (_, route) in known.items():
-                _check_services(name, route, manifest)
         except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as error:
             return Err(str(error))
-        self._known = known
-        rules = [
-            ServiceRule(
-                name, wire.health_path, wire.max_connections, wire.cold_start_s, wire.cold_per_s
-            )
-            for name, wire in manifest.services.items()
+        if len(manifest.version) > VERSION_DIGITS:
+            return Err(f'version "{manifest.version}" is too long')
+        faults: list[str] = []
+        rules = _decode_rules(manifest.services, faults)
+        self._known = {name: self._route(name, raw) for name, raw in manifest.routes.items()}
+        faults += [known.fault for known in self._known.values() if known.fault is not None]
+        routes = [
+            _with_known_services(known.route, rules, faults) for known in self._known.values()
         ]
-        wire_limits = manifest.limits
-        limits = IngressLimits(
-            wire_limits.max_header_bytes,
-            wire_limits.max_body_bytes,
-            wire_limits.header_timeout_s,
-            wire_limits.idle_timeout_s,
-        )
-        routes = [route for _, route in known.values()]
-        return Ok(RouteTable.build(version, routes, rules, limits))
+        self._limits = _decode_limits(manifest.limits, self._limits, faults)
+        return Ok(RouteTable.build(version, routes, rules.values(), self._limits, faults))
 
-    def _route(self, name: str, raw: msgspec.Raw) -> tuple[bytes, Route]:
+    def _route(self, name: str, raw: msgspec.Raw) -> _DecodedRoute:
         content = bytes(raw)
         known = self._known.get(name)
-        if known is not None and known[0] == content:
+        if known is not None and known.content == content:
             return known
         try:
             wire = _route_decoder.decode(content)
+            route = _route(name, wire)
+        except (msgspec.DecodeError, ValueError) as error:
+            return _DecodedRoute(content, _place_of(name, content), f'route "{name}": {error}')
+        fault = None
+        if wire.kind not in _KIND_BY_WORD:
+            fault = f'route "{name}" has the unknown kind "{wire.kind}"; it runs at most once'
+        return _DecodedRoute(content, route, fault)
+
+
+def _decode_rules(services: dict[str, msgspec.Raw], faults: list[str]) -> dict[str, ServiceRule]:
+    rules: dict[str, ServiceRule] = {}
+    for name, raw in services.items():
+        try:
+            wire = _service_decoder.decode(raw)
         except msgspec.DecodeError as error:
-            raise ValueError(f'route "{name}": {error}') from error
-        return content, _route(name, wire)
+            faults.append(f'service "{name}": {error}')
+            continue
+        rules[name] = ServiceRule(
+            name, wire.health_path, wire.max_connections, wire.cold_start_s, wire.cold_per_s
+        )
+    return rules
+
+
+def _decode_limits(raw: msgspec.Raw, known: IngressLimits, faults: list[str]) -> IngressLimits:
+    """Return the limits, or those of the version before if they cannot be read."""
+    try:
+        wire = _limits_decoder.decode(raw)
+    except msgspec.DecodeError as error:
+        faults.append(f"limits: {error}; those in force stay")
+        return known
+    wrong = [name for name in _REQUIRED_LIMITS if getattr(wire, name) <= 0]
+    if wrong:
+        faults.append(f'limits: field "{wrong[0]}" is not positive; those in force stay')
+        return known
+    return IngressLimits(
+        wire.max_header_bytes, wire.max_body_bytes, wire.header_timeout_s, wire.idle_timeout_s
+    )
+
+
+def _with_known_services(
+    route: Route | UnreadableRoute, rules: dict[str, ServiceRule], faults: list[str]
+) -> Route | UnreadableRoute:
+    if isinstance(route, Route):
+        for part in route.parts:
+            if part.service not in rules:
+                faults.append(f'route "{route.name}" names the unknown service "{part.service}"')
+                return UnreadableRoute(route.name, route.host, route.prefix)
+    return route
+
+
+def _place_of(name: str, content: bytes) -> UnreadableRoute:
+    """Return where a route stands of which something else cannot be read."""
+    try:
+        fields = msgspec.json.decode(content, type=dict[str, object])
+    except msgspec.DecodeError:
+        return UnreadableRoute(name, None, None)
+    host, prefix = fields.get("host"), fields.get("path-prefix")
+    return UnreadableRoute(
+        name,
+        host.lower() if isinstance(host, str) else None,
+        prefix if isinstance(prefix, str) and _is_prefix(prefix) else None,
+    )
 
 
-def _check_services(name: str, route: Route, manifest: _Manifest) -> None:
-    for part in route.parts:
-        if part.service not in manifest.services:
-            raise ValueError(f'route "{name}" names the unknown service "{part.service}"')
+def _is_prefix(text: str) -> bool:
+    return text.startswith("/") and text.endswith("/")
 
 
 def _route(name: str, wire: _Route) -> Route:
-    if wire.kind not in _KIND_BY_WORD:
-        raise ValueError(f'route "{name}" has the unknown kind "{wire.kind}"')
     parts = tuple(SplitPart(p.service, p.weight) for p in wire.traffic_split if p.weight > 0)
     if wire.service is not None and not parts:
         parts = (SplitPart(wire.service, 1.0),)
     if not parts:
-        raise ValueError(f'route "{name}" names no service')
-    if not (wire.path_prefix.startswith("/") and wire.path_prefix.endswith("/")):
-        raise ValueError(f'route "{name}" has the prefix "{wire.path_prefix}" without slashes')
+        raise ValueError("it names no service")
+    if not _is_prefix(wire.path_prefix):
+        raise ValueError(f'it has the prefix "{wire.path_prefix}" without slashes')
     if wire.timeout_s <= 0 or wire.max_attempts < 1:
-        raise ValueError(f'route "{name}" has no positive timeout or number of attempts')
+        raise ValueError("it has no positive timeout or number of attempts")
     return Route(
         name=name,
         host=wire.host.lower(),
         prefix=wire.path_prefix,
-        kind=_KIND_BY_WORD[wire.kind],
+        kind=_KIND_BY_WORD.get(wire.kind, RequestKind.NON_IDEMPOTENT),
         timeout=wire.timeout_s,
         objective=wire.target_latency_s if wire.target_latency_s > 0 else wire.timeout_s,
         priority=wire.priority,
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -8,7 +8,12 @@
 import pytest
 import uvloop
 
-from cassiashore._internal.steering.routes import IngressLimits, RequestKind
+from cassiashore._internal.steering.routes import (
+    IngressLimits,
+    RequestKind,
+    RouteTable,
+    UnreadableRoute,
+)
 from tests.lib.ingress import request, start_ingress, with_targets
 from tests.lib.steering_builders import FakeTarget, Serve, answer, header_of, route, table
 
@@ -371,6 +376,23 @@
     run(test)
 
 
+def test_a_route_that_cannot_be_followed_is_refused_and_never_called_unknown() -> None:
+    async def test() -> None:
+        known = route()
+        unreadable = UnreadableRoute("odd", "shop.example", "/odd/")
+        rules = table(known).rule_by_service.values()
+        ingress = await start_ingress(
+            RouteTable.build(1, [known, unreadable], rules, IngressLimits())
+        )
+        (target,) = await with_targets(ingress, whole)
+        status, headers, _ = await ingress.ask(request("/odd/1"))
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert (await ingress.ask(request("/a/1")))[0] == 200
+        assert len(target.heads) == 1
+
+    run(test)
+
+
 def test_a_caller_that_leaves_cancels_its_request() -> None:
     async def test() -> None:
         started = asyncio.Event()
