Bound every part of an answer and of a request; free connections of answers that stall

Cause: only heads were bounded. Trailers, chunk lines and chunk extensions without end grew a process or held its processor; trailers ended up among the headers. Nothing bounded an answer after its first 256 KB, and one of which the head had come and the body stalled kept its connection, and its target busy, for good. A body in tiny chunks cost a hundred times its size.

Change: at most 64 KB may come before the next piece of a body, from targets, the store and callers alike; trailers are dropped; a body is kept in one buffer. The whole answer is bound by the deadline; what has come by then is passed on. An answer that breaks off resets the caller's connection, so that one without a length never looks whole. Callers that read nothing, and those whose body stalls, are let go. Each answer that is not passed on closes its connection.

Ruled out: a bound on bytes per body byte; it lets a large body pay for endless trailers.

--- a/src/cassiashore/_internal/ingress/answering.py
+++ b/src/cassiashore/_internal/ingress/answering.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import time
 
 from cassiashore._internal.exceptions import ConnectionLostError
@@ -16,6 +18,8 @@
 from cassiashore._internal.proxy.headers import end_to_end
 from cassiashore._internal.proxy.statuses import status_of
 
+logger = logging.getLogger(__name__)
+
 
 class Answering:
     """Answers callers and tells what was decided about their requests."""
@@ -27,14 +31,19 @@
         self._metrics = metrics
 
     async def deliver(self, call: Call, responder: Responder, delivery: Delivery) -> None:
-        """Pass on a target's answer; one that breaks off breaks the caller's connection."""
+        """Pass on a target's answer; one that breaks off breaks the caller's connection.
+
+        The target has until the deadline for the whole answer. What it sent by then is passed on,
+        however slowly the caller reads.
+        """
         answer = delivery.answer
         headers = [p for p in end_to_end(answer.head.headers) if p[0] != b"content-length"]
-        if answer.rest is None:
+        connection = delivery.take_rest()
+        if connection is None:
             self.finish(call, "answered", delivery)
             responder.send_whole(answer.head.status, headers, answer.body)
             return
-        connection, whole = answer.rest, False
+        whole = False
         try:
             await responder.turn()
             length = answer.head.get(b"content-length")
@@ -42,10 +51,17 @@
             piece: bytes | None = answer.body
             while piece is not None:
                 await responder.write(piece)
-                piece = await connection.read_chunk()
+                left = None if connection.has_whole else call.deadline - time.monotonic()
+                if left is not None and left <= 0:
+                    raise TimeoutError
+                async with asyncio.timeout(left):
+                    piece = await connection.read_chunk()
             whole = True
             responder.finish()
-        except ConnectionLostError:
+        except (ConnectionLostError, TimeoutError) as error:
+            logger.info(
+                "the answer to %s broke off: %s", call.key, str(error) or "the deadline passed"
+            )
             responder.abort()
         finally:
             pool = delivery.target.pool
@@ -86,6 +102,7 @@
 
     def finish(self, call: Call, result: str, delivery: Delivery | None) -> None:
         """Log the decision and count it."""
+        call.is_finished = True
         request_id = call.request.header(self._edge.request_id) or b""
         seconds = time.monotonic() - call.request.received_at
         self._decisions.write_request(
--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from dataclasses import dataclass
 from enum import Enum
@@ -22,6 +23,8 @@
 from cassiashore._internal.net.pool import ConnectionPool
 from cassiashore._internal.steering.registry import RegisteredTarget
 
+logger = logging.getLogger(__name__)
+
 WHOLE_ANSWER_BYTES = 256 * 1024  # answers up to this are read whole before any of it is passed on
 MIN_CONNECT_SECONDS = 0.25  # the first retransmission of an opening packet comes after 1 s
 ROUND_TRIPS_TO_CONNECT = 4  # a target with a long accept queue answers late
@@ -94,7 +97,7 @@
     connection: HttpConnection | None = None
     pool = target.pool
     started = time.monotonic()
-    done = False
+    answer: Result[TargetAnswer, Failure] | None = None
     try:
         connected = await _connect(send, pool, deadline, round_trip)
         if isinstance(connected, Err):
@@ -104,7 +107,6 @@
         if isinstance(answer, Ok):
             answer.ok_value.seconds = time.monotonic() - started
             _note_keep_alive(pool, answer.ok_value.head)
-        done = True
         return answer
     except (ConnectionLostError, BodyError) as error:
         if connection is not None:
@@ -112,7 +114,7 @@
         return Err(_lost(connection, str(error)))
     finally:
         if connection is not None:
-            _hand_back(pool, connection, send, done=done)
+            _hand_back(pool, connection, answer)
 
 
 async def _connect(
@@ -184,16 +186,19 @@
 
 
 async def _send_rest(send: Send, connection: HttpConnection) -> None:
-    """Stream what follows the prefix of a long body."""
+    """Stream what follows the prefix of a long body; close the connection if it breaks off."""
     chunked = send.content_length is None
-    while True:
-        piece = await send.body.next_piece()
-        if piece is None:
-            break
-        connection.write(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
-        await connection.drain()
-    if chunked:
-        connection.write(b"0\r\n\r\n")
+    try:
+        while (piece := await send.body.next_piece()) is not None:
+            connection.write(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+            await connection.drain()
+        if chunked:
+            connection.write(b"0\r\n\r\n")
+    except BodyError as error:
+        logger.info("a request's body broke off: %s", error)
+        connection.close()
+    except ConnectionLostError as error:
+        logger.debug("the target took no more of a body: %s", error)
 
 
 def _attempt_headers(
@@ -237,8 +242,16 @@
         pool.idle_seconds = max(MIN_IDLE_SECONDS, min(pool.idle_seconds, idle * SHARE_OF_FORGOTTEN))
 
 
-def _hand_back(pool: ConnectionPool, connection: HttpConnection, send: Send, *, done: bool) -> None:
-    """Return a connection to the pool unless its exchange is open or its body not all sent."""
-    if done and not connection.fully_read and connection.usable and connection.has_head:
-        return  # the rest of a long answer is still to be read; the reader hands it back
-    pool.release(connection) if done else pool.discard(connection)
+def _hand_back(
+    pool: ConnectionPool,
+    connection: HttpConnection,
+    answer: Result[TargetAnswer, Failure] | None,
+) -> None:
+    """Return a connection to the pool, unless the rest of an answer is still to be read from it.
+
+    Without an answer the exchange is open, and the target must not go on with it.
+    """
+    if not isinstance(answer, Ok):
+        pool.discard(connection)
+    elif answer.ok_value.rest is None:
+        pool.release(connection)
--- a/src/cassiashore/_internal/ingress/body.py
+++ b/src/cassiashore/_internal/ingress/body.py
@@ -5,13 +5,28 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 
 HIGH_WATER_BYTES = 256 * 1024  # of a body that is not read: some round trips on a link of 1 Gbit/s
 
 
+class BodyFault(StrEnum):
+    """Why the rest of a body will not come."""
+
+    CALLER_LEFT = "the caller closed the connection"
+    TOO_LARGE = "the body is too large"
+    WITHOUT_CONTENT = "the body goes on without content"
+    STALLED = "the body stalled"
+
+
 class BodyError(Exception):
     """Report that the rest of a body will not come."""
 
+    def __init__(self, fault: BodyFault) -> None:
+        """Keep why."""
+        super().__init__(fault.value)
+        self.fault = fault
+
 
 class RequestBody:
     """Pieces of a body, with backpressure towards the caller's connection.
@@ -30,7 +45,7 @@
         self._pieces: deque[bytes] = deque()
         self._buffered = 0
         self._is_paused = False
-        self._fault: str | None = None
+        self._fault: BodyFault | None = None
         self._waiter: asyncio.Future[None] | None = None
 
     def feed(self, data: bytes) -> None:
@@ -48,10 +63,10 @@
         self.is_complete = True
         self._wake()
 
-    def fail(self, why: str) -> None:
+    def fail(self, fault: BodyFault) -> None:
         """Take in that the rest will not come."""
         if not self.is_complete and self._fault is None:
-            self._fault = why
+            self._fault = fault
             self._wake()
 
     async def prefix(self, limit: int) -> bytes:
--- a/src/cassiashore/_internal/ingress/call.py
+++ b/src/cassiashore/_internal/ingress/call.py
@@ -8,17 +8,37 @@
 from cassiashore._internal.ingress.attempt import TargetAnswer
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.models.outcome import Failure, Outcome
-from cassiashore._internal.net.http_client import Headers
+from cassiashore._internal.net.http_client import Headers, HttpConnection
 from cassiashore._internal.steering.registry import RegisteredTarget
 from cassiashore._internal.steering.routes import Route
 
 
+@dataclass(slots=True)
+class Delivery:
+    """What the caller gets: a target's answer, and who made it."""
+
+    answer: TargetAnswer
+    target: RegisteredTarget
+
+    def take_rest(self) -> HttpConnection | None:
+        """Return the connection that has the rest of the answer; the caller now hands it back."""
+        rest, self.answer.rest = self.answer.rest, None
+        return rest
+
+    def discard(self) -> None:
+        """Close the connection of an answer that nobody reads on."""
+        rest = self.take_rest()
+        if rest is not None:
+            self.target.pool.discard(rest)
+
+
 @dataclass(slots=True)
 class Call:
     """One request on its way.
 
     ``deadline`` is when the caller gets a final answer, in seconds of the monotonic clock.
-    ``may_have_run`` counts sends of which it is not certain that they did not run.
+    ``may_have_run`` counts sends of which it is not certain that they did not run. ``deliveries``
+    are all answers that targets gave, of which the caller gets one.
     """
 
     request: IngressRequest
@@ -36,6 +56,8 @@
     steps: list[list[object]] = field(default_factory=list)
     worst: Failure | None = None
     retry_after: float = 0.0
+    deliveries: list[Delivery] = field(default_factory=list)
+    is_finished: bool = False
 
     def failed(self, failure: Failure) -> None:
         """Keep the worst knowledge: once a send may have run, the request may have run."""
@@ -43,14 +65,6 @@
             self.worst = failure
 
 
-@dataclass(slots=True)
-class Delivery:
-    """What the caller gets: a target's answer, and who made it."""
-
-    answer: TargetAnswer
-    target: RegisteredTarget
-
-
 def host_of(request: IngressRequest) -> str:
     host = (request.header(b"host") or b"").decode("latin-1").lower()
     name, separator, port = host.rpartition(":")
--- a/src/cassiashore/_internal/ingress/connection.py
+++ b/src/cassiashore/_internal/ingress/connection.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -17,7 +19,7 @@
 import httptools
 
 from cassiashore._internal.http.framing import head_fault
-from cassiashore._internal.ingress.body import RequestBody
+from cassiashore._internal.ingress.body import BodyFault, RequestBody
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.net.http_client import Headers, watch_for_silence
@@ -27,8 +29,10 @@
 
 MAX_PIPELINED = 32  # requests of one connection at a time; reading stops beyond
 LINGER_SECONDS = 1.0  # a caller that still sends gets this long to read a refusal
+MAX_WITHOUT_BODY_BYTES = 64 * 1024  # chunk lines and trailers between two pieces of a body
 
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for zero seconds
 Handler = Callable[[IngressRequest, Responder], Awaitable[None]]
 
 
@@ -56,6 +60,7 @@
         self._url = b""
         self._headers: Headers = []
         self._head_bytes = 0
+        self._without_body_bytes = 0
         self._request: IngressRequest | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._is_refusing = False
@@ -78,7 +83,7 @@
             self._timer.cancel()
             self._timer = None
         if self._request is not None:
-            self._request.body.fail("the caller closed the connection")
+            self._request.body.fail(BodyFault.CALLER_LEFT)
         self.resume_writing()
         for responder in self._responders:
             if responder.task is not None:
@@ -91,6 +96,11 @@
         if self._phase is _Phase.IDLE:
             self._head_bytes = 0
             self._enter(_Phase.HEAD)
+        if self._phase is _Phase.BODY:
+            if self._without_body_bytes > MAX_WITHOUT_BODY_BYTES:
+                self._fail_body(BodyFault.WITHOUT_CONTENT)
+                return
+            self._without_body_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -134,8 +144,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header of a head; trailers are dropped."""
+        if self._request is None:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Hand a request to the handler, or refuse it."""
@@ -160,6 +171,7 @@
             received_at=time.monotonic(),
         )
         self._request = request
+        self._without_body_bytes = 0
         self._enter(_Phase.BODY)
         responder = Responder(self, request)
         self._responders.append(responder)
@@ -173,9 +185,9 @@
         if request is None or self._is_refusing:
             return
         self._phase_at = time.monotonic()
+        self._without_body_bytes = 0
         if request.body.size + len(body) > self.server.limits().max_body_bytes:
-            request.body.fail("the body is too large")
-            self._is_refusing = True
+            self._fail_body(BodyFault.TOO_LARGE)
             return
         request.body.feed(body)
 
@@ -204,13 +216,23 @@
             self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the send buffer has room."""
-        if self._write_waiter is not None:
-            await self._write_waiter
+        """Wait until the send buffer has room; break with a caller that reads nothing."""
+        if self._write_waiter is None:
+            return
+        try:
+            async with asyncio.timeout(self.server.limits().idle_seconds):
+                await self._write_waiter
+        except TimeoutError:
+            logger.info("a caller did not read its answer")
+            self.abort()
+            raise asyncio.CancelledError from None
 
     def abort(self) -> None:
-        """Break the connection."""
+        """Break the connection with a reset: an answer may end with its connection."""
         if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None and not self._transport.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             self._transport.abort()
 
     def answered(self, responder: Responder, *, closes: bool) -> None:
@@ -234,6 +256,13 @@
             self._phase = _Phase.ENDING
             self._transport.close()
 
+    def _close_idle_for_good(self) -> None:
+        """Close an idle connection, also one whose caller has not read its answer."""
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self.abort()
+        else:
+            self.close_if_idle()
+
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is in progress."""
@@ -297,12 +326,17 @@
             self._arm()
             return
         if self._phase is _Phase.IDLE:
-            self.close_if_idle()
+            self._close_idle_for_good()
         elif self._phase is _Phase.HEAD:
             self._refuse(408, "the request head came too slowly")
-        elif self._request is not None:
-            self._request.body.fail("the body stalled")
-            self._is_refusing = True
+        else:
+            self._fail_body(BodyFault.STALLED)
+
+    def _fail_body(self, fault: BodyFault) -> None:
+        """Take in no more of a body; its request is answered, and the connection closed."""
+        if self._request is not None:
+            self._request.body.fail(fault)
+        self._is_refusing = True
 
     def _refuse(self, status: int, why: str) -> None:
         """Answer what cannot be taken as a request, behind earlier answers, and close."""
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -23,7 +23,7 @@
     attempt,
     classify,
 )
-from cassiashore._internal.ingress.body import BodyError
+from cassiashore._internal.ingress.body import BodyError, BodyFault
 from cassiashore._internal.ingress.call import Call, Delivery, cookie_of, host_of
 from cassiashore._internal.ingress.edge import EdgeHeaders
 from cassiashore._internal.ingress.request import IngressRequest
@@ -51,6 +51,12 @@
 NO_TARGET_RETRY_SECONDS = 0.5  # about the time for a change in the store to arrive
 UNREADABLE_RETRY_SECONDS = 2.0  # until operators have corrected the route; less wins nothing
 SERVER_ERROR = 500
+_REASON_BY_BODY_FAULT = {
+    BodyFault.CALLER_LEFT: Reason.DEADLINE,
+    BodyFault.STALLED: Reason.DEADLINE,
+    BodyFault.TOO_LARGE: Reason.BODY_TOO_LARGE,
+    BodyFault.WITHOUT_CONTENT: Reason.MALFORMED,
+}
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
 
 
@@ -134,14 +140,18 @@
             return
         try:
             outcome = await self._run(call, send)
+            if isinstance(outcome, Ok):
+                await self._answering.deliver(call, responder, outcome.ok_value)
         except asyncio.CancelledError:
-            self._answering.finish(call, "caller-left", None)
+            if not call.is_finished:
+                self._answering.finish(call, "caller-left", None)
             raise
+        finally:
+            for delivery in call.deliveries:
+                delivery.discard()
         if isinstance(outcome, Err):
             self._answering.finish(call, outcome.err_value.reason.value, None)
             self._answering.fail(responder, outcome.err_value, call.retry_after)
-            return
-        await self._answering.deliver(call, responder, outcome.ok_value)
 
     # Reading.
 
@@ -157,11 +167,12 @@
             self._answering.refuse(request, responder, failure)
             return None
         try:
-            prefix = await request.body.prefix(PREFIX_BYTES)
-        except BodyError as error:
-            too_large = request.body.size + 1 > most or "large" in str(error)
-            reason = Reason.BODY_TOO_LARGE if too_large else Reason.DEADLINE
-            self._answering.refuse(request, responder, Failure.not_run(reason, str(error)))
+            async with asyncio.timeout(None if request.body.is_complete else route.timeout):
+                prefix = await request.body.prefix(PREFIX_BYTES)
+        except (BodyError, TimeoutError) as error:
+            fault = error.fault if isinstance(error, BodyError) else BodyFault.STALLED
+            failure = Failure.not_run(_REASON_BY_BODY_FAULT[fault], fault.value)
+            self._answering.refuse(request, responder, failure)
             return None
         request_id = request.header(self._edge.request_id)
         if request_id is None:
@@ -366,7 +377,9 @@
             step.append("unframed")
         if proof is Proof.RAN:
             self._note_answer(call, chosen, answer)
-            return Ok(Delivery(answer, target))
+            delivery = Delivery(answer, target)
+            call.deliveries.append(delivery)
+            return Ok(delivery)
         if answer.rest is not None:
             target.pool.discard(answer.rest)
         return Err(self._unproven(call, target, proof, answer))
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -20,8 +19,11 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
 
-READ_HIGH_WATER_BYTES = 256 * 1024  # some round trips on a link of 1 Gbit/s
-MAX_RESPONSE_HEAD_BYTES = 64 * 1024  # eight times what common servers allow
+READ_HIGH_WATER_BYTES = 64 * 1024  # one read more may be queued; hundreds of answers come at once
+# Bytes that may come before the next piece of a body: heads, interim and skipped answers, chunk
+# lines, trailers. Eight times what common servers allow for a head.
+MAX_WITHOUT_BODY_BYTES = 64 * 1024
+FEED_BYTES = 64 * 1024  # parsed at a time, so that the limit above holds within one large read
 _BODILESS_STATUSES = frozenset({204, 304})
 KEEP_ALIVE_PROBE_SECONDS = 1  # shortest that the kernel takes
 KEEP_ALIVE_PROBES = 3  # lost before a connection is given up
@@ -56,10 +58,10 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._head = ResponseHead()
-        self._head_bytes = 0
+        self._without_body_bytes = 0
         self._head_waiter: asyncio.Future[ResponseHead] | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
+        # One buffer: a queue of pieces would cost a hundred times their size in tiny chunks.
+        self._body = bytearray()
         self._paused_reading = False
         self._body_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -76,6 +78,7 @@
         self._error: str | None = None
         self.bytes_sent = 0
         self.exchanges = 0
+        self.bytes_received = 0
         self.idle_since = 0.0
         self.skipped = 0
 
@@ -88,21 +91,26 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes outside an exchange close the connection."""
+        self.bytes_received += len(data)
         if self._head_waiter is None or self._complete:
             self._fail("the server sent bytes that answer no request")
             return
-        if not self._head_done:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES + len(data):
-                self._fail("the response head is too large")
+        for start in range(0, len(data), FEED_BYTES):
+            self._feed(data[start : start + FEED_BYTES])
+            if self._error is not None:
                 return
+        if self._has_extra:
+            self._fail("the server sent bytes after its answer")
+
+    def _feed(self, data: bytes) -> None:
+        if self._without_body_bytes > MAX_WITHOUT_BODY_BYTES:
+            self._fail(f"the server sent over {MAX_WITHOUT_BODY_BYTES} bytes without a body")
+            return
+        self._without_body_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"the response is malformed: {error}")
-            return
-        if self._has_extra:
-            self._fail("the server sent bytes after its answer")
 
     def eof_received(self) -> bool:
         """Take an orderly end of the stream as the end of a response without a length."""
@@ -135,8 +143,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a response header."""
-        if self._complete:
-            return
+        if self._complete or self._head_done:
+            return  # trailers are dropped: the head was delivered without them
         self._head.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -164,9 +172,9 @@
         """Queue a piece of the body and stop reading when too much is queued."""
         if self._complete or self._skipping:
             return
-        self._chunks.append(body)
-        self._buffered += len(body)
-        if self._buffered > READ_HIGH_WATER_BYTES and not self._paused_reading:
+        self._without_body_bytes = 0
+        self._body += body
+        if len(self._body) > READ_HIGH_WATER_BYTES and not self._paused_reading:
             self._paused_reading = True
             if self._transport is not None:
                 self._transport.pause_reading()
@@ -197,7 +205,12 @@
     @property
     def fully_read(self) -> bool:
         """Tell whether the response is whole and all of its body was read."""
-        return self._complete and not self._chunks
+        return self._complete and not self._body
+
+    @property
+    def has_whole(self) -> bool:
+        """Tell whether the whole response has come, read or not."""
+        return self._complete
 
     @property
     def is_unframed(self) -> bool:
@@ -236,7 +249,7 @@
             raise ConnectionLostError(self._error or "the connection is closed")
         self._parser = httptools.HttpResponseParser(self)
         self._head = ResponseHead()
-        self._head_bytes = 0
+        self._without_body_bytes = 0
         self._head_done = False
         self._complete = False
         self._keep_alive = False
@@ -246,8 +259,7 @@
         self._accept = accept
         self._skipping = False
         self._has_extra = False
-        self._chunks.clear()
-        self._buffered = 0
+        self._body.clear()
         self.bytes_sent = 0
         self.exchanges += 1
         self._head_waiter = self._loop.create_future()
@@ -279,14 +291,14 @@
 
         Raise ``ConnectionLostError`` when the connection ends before the body does.
         """
-        while not self._chunks:
+        while not self._body:
             if self._complete or not self._expects_body or self._head.status in _BODILESS_STATUSES:
                 return None
             if self._error is not None:
                 raise ConnectionLostError(self._error)
             self._body_waiter = self._loop.create_future()
             await self._body_waiter
-        return self._take_chunks()
+        return self._take_body()
 
     async def read_all(self, limit: int) -> bytes:
         """Return the whole body; raise ``ConnectionLostError`` if it exceeds ``limit`` bytes."""
@@ -305,10 +317,9 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _take_chunks(self) -> bytes:
-        data = self._chunks.popleft() if len(self._chunks) == 1 else b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
+    def _take_body(self) -> bytes:
+        data = bytes(self._body)
+        self._body.clear()
         if self._paused_reading and self._transport is not None:
             self._paused_reading = False
             self._transport.resume_reading()
