Take turns at a store that turns everybody away; tell of leaving without it

Instances that stopped meanwhile stayed in directory answers.

Change: sources tell that they cannot read; one more instance takes its turn with each second, in an order that all know; one that is answered passes what it reads to its sources. Keys are neither renewed nor written while whoever reads the store is not answered. Instances that cannot withdraw tell the others. Leases follow the stable window and are renewed twice, not three times. Readers that fail follow each other.

Found on the way, with tests: an instance that no longer read the store counted as failing for good; one whose turn came counted as answered before its first call. Tests took ports of the range for outgoing connections; they now use lab.ports.

Ruled out: a limit on each instance's own retries, which still grows with the instances.

--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -1,7 +1,7 @@
 """Keeps the mirror current: by watching the store, or from instances that do.
 
-A few instances, one in each region, watch the store; the others have a stream to two of them. One
-that hears from neither for ``RELAY_SILENCE_SECONDS`` watches the store itself until it does.
+A few instances, one in each region, watch the store; the others have a stream to two of them. When
+neither has news, ``feed_health`` says which of the others watch the store in their place.
 """
 
 from __future__ import annotations
@@ -10,10 +10,14 @@
 import logging
 import random
 import time
-from collections.abc import Callable
 
 from result import Err
 
+from cassiashore._internal.mirror.feed_health import (
+    FeedHealth,
+    FeedState,
+    reads_without_sources,
+)
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.store.events import EventStore, HistoryLost
@@ -24,7 +28,7 @@
 MIN_WATCH_INTERVAL_SECONDS = 0.4  # changes come in groups; each answered watch is a call
 FIRST_RETRY_SECONDS = 0.1  # a few answer times of the store
 MAX_RETRY_SECONDS = 0.25  # a drain must be known within seconds of the store's return
-RELAY_SILENCE_SECONDS = 1.2  # three beats
+SPARE_RETRY_SECONDS = 1.0  # of those that try in place of readers, which already try often
 IDLE_CHECK_SECONDS = 0.1  # a fraction of a beat
 BOOT_PATIENCE_SECONDS = 0.8  # for a copy from another instance, which costs the store nothing
 LEAST_READERS = 2  # one may end
@@ -39,22 +43,29 @@
         store: EventStore,
         mirror: StoreMirror,
         instances: InstanceTable,
-        relay_heard_at: Callable[[], float],
+        feed: FeedHealth,
         starts_as_reader: bool,
         rng: random.Random,
     ) -> None:
-        """Keep the parts; ``relay_heard_at`` is when another instance last brought news."""
+        """Keep the parts; ``feed`` is what other instances tell of the store."""
         self.is_reading = False
+        self.is_helping = False
         self._store = store
         self._mirror = mirror
         self._instances = instances
-        self._relay_heard_at = relay_heard_at
+        self._feed = feed
         self._starts_as_reader = starts_as_reader
         self._rng = rng
         self._started_at = time.monotonic()
         self._failing_since: float | None = None
         self._retry = FIRST_RETRY_SECONDS
         self._needs_copy = False
+        self._was_answered = False
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether this instance reads the store and its last call was answered."""
+        return self.is_reading and self._was_answered and not self.is_failing
 
     @property
     def is_failing(self) -> bool:
@@ -75,21 +86,32 @@
                 pause = started + MIN_WATCH_INTERVAL_SECONDS - time.monotonic()
             else:
                 pause = self._retry * (0.5 + self._rng.random())
-                self._retry = min(MAX_RETRY_SECONDS, self._retry * 2)
+                most = SPARE_RETRY_SECONDS if self._is_spare() else MAX_RETRY_SECONDS
+                self._retry = min(most, self._retry * 2)
             if pause > 0:
                 await asyncio.sleep(pause)
 
     def _should_read(self) -> bool:
         readers = self._instances.store_readers(LEAST_READERS)
         own = self._instances.own_incarnation
-        if any(reader.identity.incarnation == own for reader in readers):
-            return True
-        now = time.monotonic()
-        if now - self._relay_heard_at() < RELAY_SILENCE_SECONDS:
+        is_reader = any(reader.identity.incarnation == own for reader in readers)
+        self.is_helping = not is_reader and self._should_help()
+        return is_reader or self.is_helping
+
+    def _should_help(self) -> bool:
+        """Tell whether this instance reads although it is none of the readers."""
+        if self.is_helping and not self.is_failing:
+            return not self._feed.has_direct
+        state, seconds = self._feed.state()
+        if state is FeedState.CURRENT:
             return False
         if not self._mirror.is_filled and not self._starts_as_reader:
-            return now - self._started_at >= BOOT_PATIENCE_SECONDS
-        return True
+            return time.monotonic() - self._started_at >= BOOT_PATIENCE_SECONDS
+        rank, count = self._instances.rank_behind_readers(LEAST_READERS)
+        return reads_without_sources(state, seconds, rank, count)
+
+    def _is_spare(self) -> bool:
+        return self.is_helping and self._mirror.is_filled
 
     async def _read_once(self) -> bool:
         """Make one call; tell whether it brought the mirror up to date."""
@@ -122,6 +144,7 @@
 
     def _answered(self, started: float) -> None:
         now = time.monotonic()
+        self._was_answered = True
         if self._failing_since is not None:
             seconds = now - self._failing_since
             logger.info("the store answers again after %.2f s", seconds)
@@ -139,4 +162,7 @@
     def _note_role(self, *, reading: bool) -> None:
         if reading != self.is_reading:
             self.is_reading = reading
+            # Whether the store answers is known only while it is called.
+            self._failing_since = None
+            self._was_answered = False
             logger.info("this instance %s the store", "reads" if reading else "no longer reads")
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -42,6 +42,24 @@
         self.on_change: Callable[[str, str], None] = lambda what, incarnation: None
         self._load_by_incarnation: dict[str, float] = {}
         self._carriers_by_purpose: dict[str, list[InstanceInfo]] = {}
+        self._order_by_least: dict[int, tuple[list[InstanceRecord], list[InstanceRecord]]] = {}
+        self._leaving: set[str] = set()
+
+    def leaves(self, incarnation: str) -> bool:
+        """Take in that an instance said it leaves; tell whether that is news.
+
+        It counts no more for callers and readers, although its registration may still stand.
+        """
+        if incarnation in self._leaving or incarnation not in self.record_by_incarnation:
+            return False
+        self._leaving.add(incarnation)
+        self._members_changed()
+        self.on_change("leaving", incarnation)
+        return True
+
+    def _members_changed(self) -> None:
+        self._carriers_by_purpose.clear()
+        self._order_by_least.clear()
 
     def load_changed(self, incarnation: str, value: bytes | None) -> None:
         """Take in the requests a second that an instance tells, or that it tells none."""
@@ -63,8 +81,9 @@
 
     def changed(self, incarnation: str, value: bytes | None) -> None:
         """Take in a change of a registration."""
-        self._carriers_by_purpose.clear()
+        self._members_changed()
         if value is None:
+            self._leaving.discard(incarnation)
             if self.record_by_incarnation.pop(incarnation, None) is not None:
                 self.on_change("gone", incarnation)
             return
@@ -76,6 +95,7 @@
         if incarnation not in self.record_by_incarnation:
             self.on_change("joined", incarnation)
         self.record_by_incarnation[incarnation] = record
+        self._members_changed()
 
     @property
     def own_incarnation(self) -> str:
@@ -97,19 +117,23 @@
         The list stays the same object until something changes.
         """
         return self._carriers(
-            "senders", lambda: {self.own_incarnation: self.own, **self.record_by_incarnation}
+            "senders", lambda: {self.own_incarnation: self.own, **self._present()}
         )
 
     def entrances(self, *, without_own: bool) -> list[InstanceInfo]:
         """Return the registered instances that carry callers."""
         if not without_own:
-            return self._carriers("entrances", lambda: self.record_by_incarnation)
+            return self._carriers("entrances", self._present)
         own = self.own_incarnation
         return self._carriers(
             "entrances without own",
-            lambda: {i: r for i, r in self.record_by_incarnation.items() if i != own},
+            lambda: {i: r for i, r in self._present().items() if i != own},
         )
 
+    def _present(self) -> dict[str, InstanceRecord]:
+        """Return the registered instances that have not said that they leave."""
+        return {i: r for i, r in self.record_by_incarnation.items() if i not in self._leaving}
+
     def _carriers(
         self, purpose: str, records: Callable[[], Mapping[str, InstanceRecord]]
     ) -> list[InstanceInfo]:
@@ -142,7 +166,25 @@
 
         One in each region, chosen by hash; more of the others until there are ``least``.
         """
-        records = sorted(self.records(), key=lambda r: hash64(r.identity.incarnation))
+        return self._reading_order(least)[0]
+
+    def rank_behind_readers(self, least: int) -> tuple[int, int]:
+        """Return the place of this instance among those that are no readers, and their number.
+
+        One that is not registered has the last place.
+        """
+        others = self._reading_order(least)[1]
+        own = self.own_incarnation
+        ranks = [i for i, r in enumerate(others) if r.identity.incarnation == own]
+        return (ranks[0] if ranks else len(others)), len(others)
+
+    def _reading_order(self, least: int) -> tuple[list[InstanceRecord], list[InstanceRecord]]:
+        """Return the readers, and the others in the order in which they would take their place."""
+        known = self._order_by_least.get(least)
+        if known is not None:
+            return known
+        present = [r for i, r in self.record_by_incarnation.items() if i not in self._leaving]
+        records = sorted(present, key=lambda r: hash64(r.identity.incarnation))
         by_region: dict[str, InstanceRecord] = {}
         for record in records:
             by_region.setdefault(record.region, record)
@@ -152,4 +194,6 @@
                 break
             if record not in readers:
                 readers.append(record)
-        return readers
+        others = [record for record in records if record not in readers]
+        self._order_by_least[least] = (readers, others)
+        return readers, others
--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -14,7 +14,7 @@
 
 logger = logging.getLogger(__name__)
 
-RENEWALS_PER_LEASE = 3  # two may be lost
+RENEWALS_PER_LEASE = 2  # one may be lost, and several tries fit into the rest of the lease
 FIRST_RETRY_SECONDS = 0.3  # a store that lost one answer takes the next
 MAX_RETRY_SECONDS = 1.2  # a refused call costs as much as an answered one
 STEP_SECONDS = 0.25  # how long a change of what is wanted may wait, beside its wake
@@ -36,6 +36,7 @@
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create a registration that wants nothing written yet."""
+        self.store_is_away: Callable[[], bool] = lambda: False
         self.wanted_by_key: dict[str, bytes] = {}
         self.is_registered = False
         self.retry_seconds = FIRST_RETRY_SECONDS
@@ -60,9 +61,14 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Write, renew and write again what was lost, until cancelled."""
+        """Write, renew and write again what was lost, until cancelled.
+
+        While others tell that the store is away, it is not called: they tell of its return.
+        """
         while True:
-            if await self._step():
+            if self.store_is_away():
+                await self._pause(STEP_SECONDS)
+            elif await self._step():
                 self.retry_seconds = FIRST_RETRY_SECONDS
                 self._note_working()
                 await self._pause(STEP_SECONDS)
@@ -70,16 +76,20 @@
                 await asyncio.sleep(self.retry_seconds)
                 self.retry_seconds = min(MAX_RETRY_SECONDS, self.retry_seconds * 2)
 
-    async def withdraw(self) -> None:
-        """Remove the keys by ending the lease, once and without waiting long."""
+    async def withdraw(self, *, calls_store: bool = True) -> bool:
+        """Remove the keys by ending the lease, once; tell whether the store took it."""
         self.wanted_by_key.clear()
         self._written_by_key.clear()
         self._ever_wanted.clear()
-        if self._lease_id:
-            ended = await self._store.end_lease(self._lease_id)
+        lease_id, self._lease_id = self._lease_id, 0
+        if lease_id:
+            if not calls_store:
+                return False
+            ended = await self._store.end_lease(lease_id)
             if isinstance(ended, Err):
                 logger.warning("withdrawing the registration failed: %s", ended.err_value.detail)
-            self._lease_id = 0
+                return False
+        return True
 
     async def _pause(self, seconds: float) -> None:
         self._wake.clear()
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -5,16 +5,13 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from cassiashore._internal.exceptions import ProtocolViolationError
-from cassiashore._internal.mirror.follower import (
-    LEAST_READERS,
-    RELAY_SILENCE_SECONDS,
-    WATCH_SECONDS,
-)
+from cassiashore._internal.mirror.feed_health import FeedHealth
+from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.models.address import Address
@@ -23,9 +20,11 @@
 from cassiashore._internal.peers.messages import (
     FeedBeat,
     FeedChanges,
+    FeedLeaving,
     FeedSnapshot,
     FeedWanted,
     Identity,
+    Message,
     pack,
     unpack,
 )
@@ -60,6 +59,9 @@
     One source sends the changes. The others are on standby and send beats only, until the first one
     ends or they know more than it: most of the bytes would come twice otherwise, and from other
     regions.
+
+    An instance that reads the store because its sources cannot, a helper, sends them beats as well;
+    they then subscribe to it over the same stream.
     """
 
     def __init__(
@@ -73,8 +75,12 @@
     ) -> None:
         """Create a relay without streams; ``seeds`` are tried until instances are known."""
         self.is_failing: Callable[[], bool] = lambda: False
+        self.is_answered: Callable[[], bool] = lambda: False
+        self.is_helping: Callable[[], bool] = lambda: False
+        self.feed = FeedHealth(time.monotonic)
+        self._helper: PeerLink | None = None
+        self._peers_current_at = float("-inf")
         self._link_by_source: dict[Address, PeerLink] = {}
-        self._heard_by_source: dict[Address, float] = {}
         self._own = own
         self._key = key
         self._mirror = mirror
@@ -93,15 +99,8 @@
 
     @property
     def heard_at(self) -> float:
-        """Return when a source last told that the mirror is current, if that is not long ago.
-
-        A source that has ended counts for a while: readers change as instances start and end, and
-        if all followers read the store meanwhile, each change costs as many calls.
-        """
-        oldest = time.monotonic() - RELAY_SILENCE_SECONDS
-        for address in [a for a, at in self._heard_by_source.items() if at < oldest]:
-            del self._heard_by_source[address]
-        return max(self._heard_by_source.values(), default=float("-inf"))
+        """Return when a source last told that the mirror is current, if that is not long ago."""
+        return self.feed.heard_at
 
     async def listen(self, address: Address) -> None:
         """Accept subscribers; raise ``OSError`` when the address is taken."""
@@ -111,6 +110,7 @@
         """Send beats and keep streams to the instances that read the store."""
         while True:
             self._follow_sources()
+            self._end_helping()
             self._beat()
             await asyncio.sleep(BEAT_SECONDS)
 
@@ -137,17 +137,71 @@
             return
         try:
             while True:
-                message = await link.receive()
-                if isinstance(message, FeedWanted):
-                    self._subscribe(link, message)
+                self._take_from_subscriber(link, await link.receive())
         except _LINK_ERRORS as error:
             logger.debug("the stream of subscriber %s ended: %s", link.peer.instance, error)
         finally:
             self._subscribers.discard(link)
             self._standbys.discard(link)
             self._accepted.discard(task)
+            if self._helper is link:
+                self._helper = None
             link.abort()
 
+    def _take_from_subscriber(self, link: PeerLink, message: Message) -> None:
+        if isinstance(message, FeedWanted):
+            self._subscribe(link, message)
+        elif isinstance(message, FeedLeaving):
+            self._pass_on_leaving(message.incarnation, self._link_by_source.values())
+        elif isinstance(message, FeedBeat):
+            self._take_help(link, message)
+        else:
+            self._take_content(link, message)
+
+    def _take_help(self, link: PeerLink, beat: FeedBeat) -> None:
+        """Follow a subscriber that reads the store while this instance cannot."""
+        age = beat.age_ms / 1000
+        if not self.is_failing() or age >= FRESH_SECONDS:
+            return
+        if self._helper is None:
+            logger.info("%s reads the store for this instance", link.peer.instance)
+            self._helper = link
+            link.send(FeedWanted(self._mirror.revision, is_standby=False))
+        elif self._helper is link and beat.revision <= self._mirror.revision:
+            self._confirm(age)
+
+    def _take_content(self, link: PeerLink, message: Message) -> None:
+        if isinstance(message, FeedSnapshot):
+            self._mirror.replace(unpack(message.packed, Snapshot))
+        elif isinstance(message, FeedChanges) and not self._mirror.apply(
+            unpack(message.packed, ChangeBatch)
+        ):
+            link.send(FeedWanted(self._mirror.revision, is_standby=False))
+
+    def _confirm(self, age: float) -> None:
+        now = time.monotonic()
+        self._peers_current_at = max(self._peers_current_at, now - age)
+        self._mirror.confirmed(now, age)
+
+    def tell_leaving(self) -> None:
+        """Tell the others that this instance leaves."""
+        for link in {*self._subscribers, *self._standbys, *self._link_by_source.values()}:
+            link.send(FeedLeaving(self._own.incarnation))
+
+    def _pass_on_leaving(self, incarnation: str, also: Iterable[PeerLink] = ()) -> None:
+        """Tell subscribers that an instance leaves, unless that is known."""
+        if self._instances.leaves(incarnation):
+            for link in {*self._subscribers, *self._standbys, *also}:
+                link.send(FeedLeaving(incarnation))
+
+    def _end_helping(self) -> None:
+        """Send sources no more of what they read themselves again, and forget a helper."""
+        if not self.is_helping():
+            self._subscribers.difference_update(self._link_by_source.values())
+            self._standbys.difference_update(self._link_by_source.values())
+        if self._helper is not None and not self.is_failing():
+            self._helper = None
+
     def _subscribe(self, link: PeerLink, wanted: FeedWanted) -> None:
         if wanted.is_standby:
             self._subscribers.discard(link)
@@ -172,14 +226,18 @@
                 link.send(message)
 
     def _beat(self) -> None:
-        self._beat_to([*self._subscribers, *self._standbys])
+        helped = self._link_by_source.values() if self.is_helping() else ()
+        self._beat_to({*self._subscribers, *self._standbys, *helped})
 
-    def _beat_to(self, subscribers: list[PeerLink]) -> None:
-        age = time.monotonic() - self._mirror.current_at
+    def _beat_to(self, subscribers: Iterable[PeerLink]) -> None:
+        now = time.monotonic()
+        age = now - self._mirror.current_at
         if not self._mirror.is_filled or age == float("inf"):
             return
-        age_ms = STALE_MS if self.is_failing() else int(age * 1000)
-        beat = FeedBeat(self._mirror.revision, age_ms)
+        is_stale = self.is_failing() and now - self._peers_current_at >= FRESH_SECONDS
+        age_ms = STALE_MS if is_stale else min(STALE_MS, int(age * 1000))
+        is_direct = self.is_answered()
+        beat = FeedBeat(self._mirror.revision, age_ms, is_direct)
         for link in subscribers:
             link.send(beat)
 
@@ -198,7 +256,7 @@
         own = self._instances.own
         readers = self._instances.store_readers(LEAST_READERS)
         others = [r for r in readers if r.identity.incarnation != own.identity.incarnation]
-        if len(others) < len(readers):
+        if len(others) < len(readers) and not self.is_failing():
             return set()
         if not others:
             if self._mirror.is_filled:
@@ -220,16 +278,18 @@
             logger.info("subscribed to %s at %s", link.peer.instance, address)
             self._link_by_source[address] = link
             try:
-                await self._receive(address, link)
+                await self._receive(link)
             except _LINK_ERRORS as error:
                 logger.info("the subscription to %s ended: %s", address, error)
             finally:
                 self._link_by_source.pop(address, None)
+                self._subscribers.discard(link)
+                self._standbys.discard(link)
                 link.abort()
                 self._sender_ended(link)
             await asyncio.sleep(REDIAL_SECONDS)
 
-    async def _receive(self, address: Address, link: PeerLink) -> None:
+    async def _receive(self, link: PeerLink) -> None:
         if self._sender is None:
             self._take_changes_from(link)
         else:
@@ -237,20 +297,24 @@
         while True:
             async with asyncio.timeout(LINK_SILENCE_SECONDS):
                 message = await link.receive()
-            now = time.monotonic()
-            if isinstance(message, FeedSnapshot):
-                self._mirror.replace(unpack(message.packed, Snapshot))
-            elif isinstance(message, FeedChanges):
-                if not self._mirror.apply(unpack(message.packed, ChangeBatch)):
-                    link.send(FeedWanted(self._mirror.revision, is_standby=False))
-            elif isinstance(message, FeedBeat):
-                age = message.age_ms / 1000
-                self._note_standby(link, message, now)
-                if age >= FRESH_SECONDS:
-                    self._heard_by_source.pop(address, None)
-                elif message.revision <= self._mirror.revision:
-                    self._heard_by_source[address] = now
-                    self._mirror.confirmed(now, age)
+            if isinstance(message, FeedBeat):
+                self._take_beat(link, message)
+            elif isinstance(message, FeedWanted):
+                self._subscribe(link, message)
+            elif isinstance(message, FeedLeaving):
+                self._pass_on_leaving(message.incarnation)
+            else:
+                self._take_content(link, message)
+
+    def _take_beat(self, link: PeerLink, beat: FeedBeat) -> None:
+        age = beat.age_ms / 1000
+        source = link.peer.peer_address
+        self._note_standby(link, beat, time.monotonic())
+        if age >= FRESH_SECONDS:
+            self.feed.failing(source)
+        elif beat.revision <= self._mirror.revision:
+            self.feed.current(source, is_direct=beat.is_direct)
+            self._confirm(age)
 
     def _take_changes_from(self, link: PeerLink) -> None:
         """Let one source send the changes, and the one that did before only beats."""
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -199,10 +199,20 @@
 
 
 class FeedBeat(_Message, frozen=True, tag=19):
-    """Tells that the sender knows all changes up to a revision as of ``age_ms`` ago."""
+    """Tells that the sender knows all changes up to a revision as of ``age_ms`` ago.
+
+    ``is_direct`` tells that it reads the store itself and is answered.
+    """
 
     revision: int
     age_ms: int
+    is_direct: bool = False
+
+
+class FeedLeaving(_Message, frozen=True, tag=20):
+    """Tells that an instance leaves and cannot say so in the store; receivers pass it on."""
+
+    incarnation: str
 
 
 Message = (
@@ -225,6 +235,7 @@
     | FeedSnapshot
     | FeedChanges
     | FeedBeat
+    | FeedLeaving
 )
 
 MAX_UNPACKED_BYTES = 64 << 20  # values of 1 MB and some ten thousand entries
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -13,6 +13,7 @@
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.mirror.distance_probe import DistanceProbe
+from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.follower import StoreFollower
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
@@ -46,7 +47,8 @@
 
 logger = logging.getLogger(__name__)
 
-LEASE_SECONDS = 4.0  # an ended instance must be out of directory answers within stable-window + 3 s
+LISTED_SECONDS = 3.0  # beyond the stable window, in which directory answers may name an ended one
+NEWS_SECONDS = 1.5  # of these for the end of a lease to be read, relayed and applied
 DIRECTORY_TTL_SECONDS = 2.0  # how long callers keep an instance that has ended meanwhile
 BACKLOG = 1024  # all callers may come at once after a restart
 POISON_CRASHES = 3  # crashes after which a request must reach no target
@@ -133,7 +135,8 @@
     def _build_store(self, settings: PlatformSettings) -> None:
         access = settings.platform.platform
         self.store = PlatformStore(Address.parse(access.address))
-        lease = max(LEASE_SECONDS, access.ttl_min_s)
+        stable = settings.terms.bounds.stable_window_s
+        lease = max(stable + LISTED_SECONDS - NEWS_SECONDS, access.ttl_min_s)
         self.registration = Registration(self.store, self.mirror, lease)
         seeds = [Address.parse(seed) for seed in settings.network.seeds]
         own = self.own.identity
@@ -145,13 +148,22 @@
             self.store,
             self.mirror,
             self.instances,
-            lambda: self.relay.heard_at,
+            self.relay.feed,
             is_seed,
             self._rng,
         )
         self.relay.is_failing = lambda: self.follower.is_failing
+        self.relay.is_answered = lambda: self.follower.is_answered
+        self.relay.is_helping = lambda: self.follower.is_helping and self.follower.is_answered
+        self.registration.store_is_away = self._store_is_away
         self._probe = DistanceProbe(self.instances, self.distances, self._rng)
 
+    def _store_is_away(self) -> bool:
+        """Tell whether whoever reads the store, here or elsewhere, is not answered."""
+        if self.follower.is_reading:
+            return self.follower.is_failing
+        return self.relay.feed.state()[0] is FeedState.FAILING
+
     def _build_faces(self, settings: PlatformSettings) -> None:
         ttl = min(DIRECTORY_TTL_SECONDS, settings.terms.bounds.ttl_max_s)
         faces = Faces(self.is_ready, self.resolve, ttl)
@@ -222,7 +234,7 @@
         self.shared.is_leaving = True
         self.front.is_draining = True
         logger.info("instance %s stops within %g s", self.own.identity.instance, grace)
-        self._withdrawal = asyncio.create_task(self.registration.withdraw())
+        self._withdrawal = asyncio.create_task(self._withdraw())
         await asyncio.sleep(min(LEAVE_SECONDS, grace * REFUSE_AFTER_SHARE))
         while time.monotonic() - started < grace * END_SHARE:
             elapsed = time.monotonic() - started
@@ -241,6 +253,11 @@
         self.store.close()
         logger.info("instance %s stopped", self.own.identity.instance)
 
+    async def _withdraw(self) -> None:
+        """Take this instance off the list; where the store does not, the others are told."""
+        if not await self.registration.withdraw(calls_store=not self._store_is_away()):
+            self.relay.tell_leaving()
+
     async def _register_when_ready(self) -> None:
         while self.forwarder.table is None:
             await asyncio.sleep(STOP_POLL_SECONDS)
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
 from cassiashore.platform.node import PlatformNode
@@ -263,14 +265,35 @@
     async def test() -> None:
         store, address, _ = await filled_store()
         async with running_node(tmp_path, settings(address)) as node:
-            store.faults.is_down = True
+            store.faults.loses_answers_of = "kv-keep"
             await until(lambda: node.registration.retry_seconds == MAX_RETRY_SECONDS)
-            store.faults.is_down = False
+            store.faults.loses_answers_of = ""
             await until(lambda: node.registration.retry_seconds == FIRST_RETRY_SECONDS)
 
     run(test)
 
 
+def test_no_key_is_written_or_renewed_while_the_store_is_away(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+
+            def calls() -> int:
+                kinds = node.store.calls_by_kind
+                return kinds["keep"] + kinds["lease"] + kinds["txn"]
+
+            store.faults.is_down = True
+            await until(lambda: node.follower.is_failing)
+            before, watches = calls(), node.store.calls_by_kind["watch"]
+            node.registration.put("cassiashore/load/other", b"1")
+            await until(lambda: node.store.calls_by_kind["watch"] > watches + 5)
+            assert calls() == before
+            store.faults.is_down = False
+            await until(lambda: "cassiashore/load/other" in store.item_by_key)
+
+    run(test)
+
+
 def test_an_instance_tells_its_load_and_with_it_who_carries_callers(tmp_path: Path) -> None:
     async def test() -> None:
         store, address, _ = await filled_store()
@@ -312,9 +335,9 @@
     async def test() -> None:
         store, address, _ = await filled_store()
         async with running_node(tmp_path, settings(address)) as node:
-            store.faults.is_down = True
+            store.faults.loses_answers_of = "kv-keep"
             await until(lambda: node.registration.retry_seconds == MAX_RETRY_SECONDS)
-            store.faults.is_down = False
+            store.faults.loses_answers_of = ""
             await until(lambda: "is kept again after" in caplog.text)
         assert caplog.text.count("cannot be kept") == 1
 
@@ -344,3 +367,62 @@
             await until(lambda: stands(b"1"))
 
     run(test)
+
+
+def test_only_instances_whose_turn_it_is_call_a_store_that_is_away(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first = settings(address, "front-1")
+        seeds = [first["network"]["listen"]["control"]]
+        documents = [settings(address, f"front-{n}", seeds) for n in range(2, 6)]
+        async with AsyncExitStack() as stack:
+            nodes = [
+                await stack.enter_async_context(running_node(tmp_path, document))
+                for document in (first, *documents)
+            ]
+            await until(lambda: all(node.instances.count() == 5 for node in nodes))
+            readers = [r.identity.incarnation for r in nodes[0].instances.store_readers(2)]
+            followers = [n for n in nodes if n.instances.own_incarnation not in readers]
+            await until(lambda: not any(node.follower.is_reading for node in followers))
+            store.faults.is_down = True
+            last = max(followers, key=lambda n: n.instances.rank_behind_readers(2)[0])
+            await until(lambda: last.relay.feed.state()[0] is FeedState.FAILING)
+            before = last.store.calls
+            await until(lambda: last.relay.feed.state()[1] > 2.0)
+            assert last.store.calls == before
+            store.faults.is_down = False
+            await until(lambda: all(not node.follower.is_failing for node in nodes))
+            await until(lambda: not last.follower.is_reading)
+            await until(lambda: last.store.calls > before)
+
+    run(test)
+
+
+def test_an_instance_that_stops_while_the_store_is_away_is_named_to_no_caller(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first = settings(address, "front-1")
+        seeds = [first["network"]["listen"]["control"]]
+        second = settings(address, "front-2", seeds)
+        third = settings(address, "front-3", seeds)
+        async with (
+            running_node(tmp_path, first) as stays,
+            running_node(tmp_path, second) as other,
+            running_node(tmp_path, third) as leaves,
+        ):
+            nodes = (stays, other, leaves)
+            await until(lambda: all(node.instances.count() == 3 for node in nodes))
+            await until(lambda: leaves.relay._link_by_source or leaves.relay._subscribers)
+            store.faults.is_down = True
+            await until(lambda: all(n.follower.is_failing for n in nodes if n.follower.is_reading))
+            stopping = asyncio.create_task(leaves.stop())
+            gone = leaves.own.identity.address
+            for node in (stays, other):
+                await until(
+                    lambda node=node: gone not in node.resolve("shop.example", "erie", "erie-a")
+                )
+            await stopping
+
+    run(test)
--- a/tests/lib/platform_builders.py
+++ b/tests/lib/platform_builders.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -15,15 +14,14 @@
 from cassiashore.platform.settings import read_settings
 from cassiashore.platform.standin import StandinStore
 from lab.platform_documents import entry, manifest_of
+from lab.ports import free_ports
 from tests.lib.ingress import SOON
 
 __all__ = ["entry", "manifest", "running_node", "running_store", "settings", "until"]
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    return free_ports(1)[0]
 
 
 def manifest(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -43,7 +41,7 @@
             "zones": {"erie-a": "erie", "huron-a": "huron"},
         },
         "platform": {"heartbeat-s": 1.5, "platform": {"address": store, "ttl-min-s": 1}},
-        "terms": {"bounds": {"grace-s": 2, "ttl_max_s": 5}},
+        "terms": {"bounds": {"grace-s": 2, "ttl_max_s": 5, "stable-window-s": 1}},
         "unknown": {"ignored": True},
     }
 
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable
 
+from result import Err
+
+from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
+from cassiashore._internal.mirror.follower import StoreFollower
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.relay import FeedRelay
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.store.client import StoreFault
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 from tests.lib.platform_builders import free_port, until
 
@@ -24,7 +30,7 @@
 
     def __init__(self, name: str, seeds: list[Address]) -> None:
         self.address = Address("127.0.0.1", free_port())
-        identity = Identity(name, f"run-{name}", "erie-a", "127.0.0.1:1", str(self.address))
+        identity = Identity(name, f"run-{name}", f"erie-{name}", "127.0.0.1:1", str(self.address))
         self.record = InstanceRecord(identity, "erie", 1.0)
         self.mirror = StoreMirror(time.monotonic)
         self.instances = InstanceTable(self.record)
@@ -135,3 +141,108 @@
         chosen.append({reader.identity.instance for reader in readers})
         assert {reader.region for reader in readers} == {"erie", "huron", "superior"}
     assert all(names == chosen[0] for names in chosen)
+
+
+def registered(peer: Peer, *others: Peer) -> None:
+    """Let instances know each other's registrations."""
+    for one in (peer, *others):
+        for other in (peer, *others):
+            key = other.record.identity.incarnation
+            one.instances.changed(key, encode_record(other.record))
+
+
+def test_an_instance_that_reaches_the_store_reads_it_for_its_sources() -> None:
+    """The store turns away all readers, and serves another instance."""
+
+    async def test() -> None:
+        peers = [await Peer(name, []).start() for name in ("a", "b", "c", "d")]
+        registered(*peers)
+        readers = peers[0].instances.store_readers(2)
+        first, second = [p for p in peers if p.record in readers]
+        helper, follower = [p for p in peers if p.record not in readers]
+        for peer in peers:
+            peer.mirror.replace(Snapshot(5, [Change("a", 3, b"1")]))
+            current(peer)
+        for reader in (first, second):
+            reader.relay.is_failing = lambda: True
+        await until(lambda: follower.relay.feed.state()[0] is FeedState.FAILING)
+        helper.relay.is_answered = helper.relay.is_helping = lambda: True
+        refreshing = asyncio.create_task(keep_current(helper))
+        helper.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
+        await until(lambda: follower.mirror.revision == 6)
+        await until(lambda: follower.relay.feed.state()[0] is FeedState.CURRENT)
+        assert not follower.relay.feed.has_direct and not helper.relay.feed.has_direct
+        first.relay.is_failing = lambda: False
+        first.relay.is_answered = lambda: True
+        current(first)
+        await until(lambda: helper.relay.feed.has_direct)
+        refreshing.cancel()
+        for peer in peers:
+            peer.stop()
+
+    run(test)
+
+
+def test_an_instance_that_leaves_without_the_store_is_left_out_by_all() -> None:
+    async def test() -> None:
+        peers = [await Peer(name, []).start() for name in ("a", "b", "c", "d")]
+        registered(*peers)
+        for peer in peers:
+            peer.mirror.replace(Snapshot(5, []))
+            current(peer)
+        readers = peers[0].instances.store_readers(2)
+        leaver, stayer = [p for p in peers if p.record not in readers]
+        await until(lambda: len(leaver.relay._link_by_source) == 2)
+        await until(lambda: len(stayer.relay._link_by_source) == 2)
+        leaver.relay.tell_leaving()
+        gone = leaver.record.identity.incarnation
+        for peer in peers:
+            if peer is not leaver:
+                await until(
+                    lambda peer=peer: gone
+                    not in [e.incarnation for e in peer.instances.entrances(without_own=False)]
+                )
+        # Its registration ends later; the same machine comes back as another run.
+        stayer.instances.changed(gone, None)
+        stayer.instances.changed(gone, encode_record(leaver.record))
+        assert gone in [e.incarnation for e in stayer.instances.entrances(without_own=False)]
+        for peer in peers:
+            peer.stop()
+
+    run(test)
+
+
+class UnreachableStore:
+    """A store of which the first watch fails."""
+
+    def __init__(self, follower_is_answered: Callable[[], bool]) -> None:
+        self.answered_before: list[bool] = []
+        self._is_answered = follower_is_answered
+
+    async def watch(self, after: int, wait_seconds: float) -> Err[StoreFault]:
+        self.answered_before.append(self._is_answered())
+        return Err(StoreFault("refused", sent=False))
+
+
+def test_an_instance_whose_turn_it_is_helps_only_once_it_was_answered() -> None:
+    """Before its first call, what it knows is as old as what its sources know."""
+
+    async def test() -> None:
+        peer = Peer("a", [])
+        peer.mirror.replace(Snapshot(5, []))
+        current(peer)
+        store = UnreachableStore(lambda: follower.is_answered)
+        follower = StoreFollower(
+            store,  # type: ignore[arg-type]
+            peer.mirror,
+            peer.instances,
+            FeedHealth(time.monotonic),
+            True,
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        await until(lambda: len(store.answered_before) >= 2)
+        assert not any(store.answered_before) and not follower.is_answered
+        task.cancel()
+
+    run(test)
