Renew leases of instances that only the store turns away through others

Change: an instance whose renewal fails asks its sources to renew its lease. A reader that fails asks the other readers. One that ended asks nobody, so its lease runs out.

Ruled out: longer leases, with which ended instances stay in directory answers.

Before, test_an_instance_that_only_the_store_turns_away_stays_listed had nothing to call.

--- a/src/cassiashore/_internal/mirror/registration.py
+++ b/src/cassiashore/_internal/mirror/registration.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from result import Err, Ok
 
@@ -37,6 +37,7 @@
     ) -> None:
         """Create a registration that wants nothing written yet."""
         self.store_is_away: Callable[[], bool] = lambda: False
+        self.renew_elsewhere: Callable[[int], Awaitable[bool]] | None = None
         self.wanted_by_key: dict[str, bytes] = {}
         self.is_registered = False
         self.retry_seconds = FIRST_RETRY_SECONDS
@@ -127,6 +128,8 @@
                 self._renewed_at = now
                 return True
             if not isinstance(renewed.err_value, LeaseLost):
+                if await self._renew_elsewhere():
+                    return True
                 return self._failed("renewing the lease", renewed.err_value.detail)
             logger.warning("the lease of the registration was lost")
             self._forget_lease()
@@ -137,6 +140,15 @@
         self._renewed_at = now
         return True
 
+    async def _renew_elsewhere(self) -> bool:
+        """Have the lease renewed by another instance; keys cannot be written meanwhile."""
+        started = self._monotonic()
+        if self.renew_elsewhere is None or not await self.renew_elsewhere(self._lease_id):
+            return False
+        logger.info("another instance renewed the lease of the registration")
+        self._renewed_at = started
+        return True
+
     def _forget_lease(self) -> None:
         self._lease_id = 0
         self._written_by_key.clear()
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -14,6 +14,7 @@
 from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.mirror.renewals import PeerRenewals
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers import link as links
 from cassiashore._internal.peers.link import PeerLink
@@ -25,6 +26,8 @@
     FeedWanted,
     Identity,
     Message,
+    RenewalDone,
+    RenewalWanted,
     pack,
     unpack,
 )
@@ -78,6 +81,7 @@
         self.is_answered: Callable[[], bool] = lambda: False
         self.is_helping: Callable[[], bool] = lambda: False
         self.feed = FeedHealth(time.monotonic)
+        self.renewals = PeerRenewals()
         self._helper: PeerLink | None = None
         self._peers_current_at = float("-inf")
         self._link_by_source: dict[Address, PeerLink] = {}
@@ -155,6 +159,8 @@
             self._pass_on_leaving(message.incarnation, self._link_by_source.values())
         elif isinstance(message, FeedBeat):
             self._take_help(link, message)
+        elif isinstance(message, RenewalWanted):
+            self.renewals.wanted(link, message)
         else:
             self._take_content(link, message)
 
@@ -183,6 +189,10 @@
         self._peers_current_at = max(self._peers_current_at, now - age)
         self._mirror.confirmed(now, age)
 
+    async def renew_elsewhere(self, lease_id: int) -> bool:
+        """Have a lease renewed by one of the sources; tell whether it was."""
+        return await self.renewals.ask(lease_id, self._link_by_source.values())
+
     def tell_leaving(self) -> None:
         """Tell the others that this instance leaves."""
         for link in {*self._subscribers, *self._standbys, *self._link_by_source.values()}:
@@ -303,6 +313,8 @@
                 self._subscribe(link, message)
             elif isinstance(message, FeedLeaving):
                 self._pass_on_leaving(message.incarnation)
+            elif isinstance(message, RenewalDone):
+                self.renewals.answered(message)
             else:
                 self._take_content(link, message)
 
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -215,6 +215,19 @@
     incarnation: str
 
 
+class RenewalWanted(_Message, frozen=True, tag=21):
+    """Asks to renew a lease of the sender, which the store turns away."""
+
+    lease_id: int
+
+
+class RenewalDone(_Message, frozen=True, tag=22):
+    """Answers a ``RenewalWanted``: whether the store renewed the lease."""
+
+    lease_id: int
+    is_renewed: bool
+
+
 Message = (
     Hello
     | Proof
@@ -236,6 +249,8 @@
     | FeedChanges
     | FeedBeat
     | FeedLeaving
+    | RenewalWanted
+    | RenewalDone
 )
 
 MAX_UNPACKED_BYTES = 64 << 20  # values of 1 MB and some ten thousand entries
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -8,6 +8,8 @@
 import random
 import time
 
+from result import Ok
+
 from cassiashore._internal.ingress.connection import IngressServer
 from cassiashore._internal.ingress.forwarder import Forwarder
 from cassiashore._internal.ingress.request import IngressRequest
@@ -155,14 +157,22 @@
         self.relay.is_failing = lambda: self.follower.is_failing
         self.relay.is_answered = lambda: self.follower.is_answered
         self.relay.is_helping = lambda: self.follower.is_helping and self.follower.is_answered
+        self.relay.renewals.renew = self._renew_for_another
         self.registration.store_is_away = self._store_is_away
+        self.registration.renew_elsewhere = self.relay.renew_elsewhere
         self._probe = DistanceProbe(self.instances, self.distances, self._rng)
 
     def _store_is_away(self) -> bool:
         """Tell whether whoever reads the store, here or elsewhere, is not answered."""
+        state, _ = self.relay.feed.state()
         if self.follower.is_reading:
-            return self.follower.is_failing
-        return self.relay.feed.state()[0] is FeedState.FAILING
+            return self.follower.is_failing and state is not FeedState.CURRENT
+        return state is FeedState.FAILING
+
+    async def _renew_for_another(self, lease_id: int) -> bool:
+        if self._store_is_away() or self.follower.is_failing:
+            return False
+        return isinstance(await self.store.renew_lease(lease_id), Ok)
 
     def _build_faces(self, settings: PlatformSettings) -> None:
         ttl = min(DIRECTORY_TTL_SECONDS, settings.terms.bounds.ttl_max_s)
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -10,10 +10,12 @@
 
 import msgspec
 import pytest
+from result import Err
 
 from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.store.client import StoreFault
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.standin import StandinStore
 from tests.lib.ingress import RawClient, request
@@ -426,3 +428,62 @@
             await stopping
 
     run(test)
+
+
+def test_an_instance_that_only_the_store_turns_away_stays_listed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its lease is renewed by another instance for several times as long as it lasts."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first = settings(address, "front-1")
+        seeds = [first["network"]["listen"]["control"]]
+        documents = [settings(address, f"front-{n}", seeds) for n in (2, 3)]
+        async with AsyncExitStack() as stack:
+            nodes = [
+                await stack.enter_async_context(running_node(tmp_path, document))
+                for document in (first, *documents)
+            ]
+            await until(lambda: all(node.instances.count() == 3 for node in nodes))
+            await until(lambda: sum(node.follower.is_reading for node in nodes) == 2)
+            cut = next(node for node in nodes if not node.follower.is_reading)
+            await until(lambda: len(cut.relay._link_by_source) == 2)
+
+            async def refused(lease_id: int) -> Err[StoreFault]:
+                return Err(StoreFault("turned away", sent=False))
+
+            monkeypatch.setattr(cut.store, "renew_lease", refused)
+            key = f"cassiashore/instances/{cut.instances.own_incarnation}"
+            renewals = {cut.registration._renewed_at}
+
+            def stays_listed() -> bool:
+                renewals.add(cut.registration._renewed_at)
+                store.expire_leases()
+                assert key in store.item_by_key
+                return len(renewals) > 4
+
+            await until(stays_listed)
+
+    run(test)
+
+
+def test_no_lease_is_renewed_for_an_instance_that_does_not_ask(tmp_path: Path) -> None:
+    """An instance that ended is not kept alive by others."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first = settings(address, "front-1")
+        second = settings(address, "front-2", [first["network"]["listen"]["control"]])
+        async with running_node(tmp_path, first) as stays:
+            async with running_node(tmp_path, second) as ends:
+                await until(lambda: stays.instances.count() == 2)
+                key = f"cassiashore/instances/{ends.instances.own_incarnation}"
+
+            def is_gone() -> bool:
+                store.expire_leases()
+                return key not in store.item_by_key
+
+            await until(is_gone)
+
+    run(test)
