--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -6,11 +6,8 @@
 
 Targets are ranked for each key by weighted rendezvous hashing (the score ``-weight / ln(u)`` of a
 uniform hash ``u``; the highest wins). A target's weight is its slots, lowered with the part of the
-route's objective that the way to it takes, so every instance of a region ranks alike. Where the way
-takes a small part of the objective, all regions agree on one target for a key, which then keeps its
-object for all of them. Where it takes a larger one, a region keeps nearly all keys for which it has
-room. Where the own region has few slots for its callers, ``RegionBalance`` says which part of the
-keys it keeps.
+route's objective that the way to it takes, so every instance of a region ranks alike. Where the own
+region has few slots for its callers, ``RegionBalance`` says which part of the keys it keeps.
 
 When the targets are busy, a request must not be sent where its object is not kept: it would take
 three times the work, and the throughput of all falls when it is needed most. So only targets with
@@ -33,8 +30,6 @@
 
 DISTANCE_AVERSION = 8.0  # e-fold of the weight when the way takes an eighth of the objective
 WEIGHT_STEPS_PER_E_FOLD = 2  # measured distances differ a little between instances
-FAR_SHARE = 0.12  # of the objective: a way that takes more makes late what has to wait a little
-MOST_FAR_WEIGHT = 0.1  # of a slot that is far, against one of the own region
 MAX_RANKINGS = 4096  # of one service
 RANKED_CANDIDATES = 4  # looked at before the least loaded of all
 WARM_SHARE = 0.4  # of the objective: answer time for a kept object before any was measured
@@ -272,14 +267,9 @@
         ]
 
     def _weight(self, target: RegisteredTarget, objective: float) -> float:
-        if target.region == self._own_region:
-            return float(target.report.slots)
         share = self._distances.round_trip(target.region) / max(objective, 0.001)
         e_folds = round(DISTANCE_AVERSION * share * WEIGHT_STEPS_PER_E_FOLD)
-        nearness = math.exp(-e_folds / WEIGHT_STEPS_PER_E_FOLD)
-        if share > FAR_SHARE:
-            nearness = min(MOST_FAR_WEIGHT, nearness)
-        return target.report.slots * nearness
+        return target.report.slots * math.exp(-e_folds / WEIGHT_STEPS_PER_E_FOLD)
 
 
 def _utilisation(target: RegisteredTarget, now: float) -> float:
