--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -202,6 +202,19 @@
     handle.target.slowness, handle.target.loses_answers = 1.0, 0.0
 
 
+@fault("target-endless")
+async def target_endless(world: World) -> None:
+    """Let a target send a part of its answers without end."""
+    handle = _any_target(world)
+    if handle is None:
+        return
+    seconds = world.rng.uniform(1.0, 3.0)
+    handle.disturbed_at = time.monotonic() + seconds
+    handle.target.endless_answers = 0.2
+    await asyncio.sleep(seconds)
+    handle.target.endless_answers = 0.0
+
+
 @fault("target-crash")
 async def target_crash(world: World) -> None:
     """Crash a target; its entry lapses, and another one comes, at times at its address."""
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -19,6 +19,7 @@
 
 LIMITS = IngressLimits(idle_seconds=8.0)
 QUEUE_PER_SLOT = 2  # requests that wait before the target sheds
+ENDLESS_PIECE = b"x" * 65_536  # written at a time
 WORK_SECONDS = (0.01, 0.06)  # least and most of a request
 
 
@@ -73,6 +74,7 @@
         self.born = int(time.time() * 1000)
         self.slowness = 1.0
         self.loses_answers = 0.0
+        self.endless_answers = 0.0
         self._ledger = ledger
         self._rng = random.Random(target_id)
         self._free = asyncio.Semaphore(slots)
@@ -144,9 +146,19 @@
         if self._rng.random() < self.loses_answers:
             responder.abort()
             return
+        if self._rng.random() < self.endless_answers:
+            await self._answer_without_end(responder, request_id)
+            return
         content = answer_body(request_id, request.target, body)
         responder.send_whole(200, self._headers(request_id, ran=True), content)
 
+    async def _answer_without_end(self, responder: Responder, request_id: str) -> None:
+        """Send a body until the other side closes, or the target's own limit for a body."""
+        responder.start(200, self._headers(request_id, ran=True), None)
+        for _ in range(LIMITS.max_body_bytes // len(ENDLESS_PIECE)):
+            await responder.write(ENDLESS_PIECE)
+        responder.abort()
+
     def _headers(self, request_id: str, *, ran: bool) -> list[tuple[bytes, bytes]]:
         load = f"{self._running},{self._waiting},{self.slots}".encode()
         headers = [
