Ignore a registration without a usable address

Cause: the address of another instance was parsed where streams are chosen, so that one registration that anybody wrote with a wrong address ended the task of the relay, and with it the process.

Change: it is parsed where the registration is read; a wrong one is logged and ignored.

Before, test_a_registration_that_cannot_be_used_ends_nothing[address] failed.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cassiashore._internal.models.address import Address
 from cassiashore._internal.models.hashing import hash64
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.steering.carriers import InstanceInfo, all_carriers
@@ -89,7 +90,8 @@
             return
         try:
             record = _decoder.decode(value)
-        except msgspec.DecodeError as error:
+            Address.parse(record.identity.peer_address)
+        except ValueError as error:  # msgspec's errors among them
             logger.warning('registration of instance "%s" ignored: %s', incarnation, error)
             return
         if incarnation not in self.record_by_incarnation:
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -7,13 +7,14 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import pytest
 from result import Err
 
 from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
 from cassiashore._internal.mirror.follower import StoreFollower
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
-from cassiashore._internal.mirror.relay import FeedRelay
+from cassiashore._internal.mirror.relay import BEAT_SECONDS, FeedRelay
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.store.client import StoreFault
@@ -151,6 +152,31 @@
             one.instances.changed(key, encode_record(other.record))
 
 
+@pytest.mark.parametrize("value", [b"", b"\xa1\xff", b"\x93\x01\x02\x03", "address"])
+def test_a_registration_that_cannot_be_used_ends_nothing(value: bytes | str) -> None:
+    """Any writer of the store may have written it; the relay goes on with the others."""
+
+    async def test() -> None:
+        reader, follower = await Peer("a", []).start(), await Peer("b", []).start()
+        registered(reader, follower)
+        if isinstance(value, str):
+            identity = Identity("x", "run-x", "erie-x", "127.0.0.1:1", "no address")
+            content = encode_record(InstanceRecord(identity, "other", 1.0))
+        else:
+            content = value
+        for peer in (reader, follower):
+            peer.instances.changed("run-x", content)
+            peer.mirror.replace(Snapshot(5, []))
+            current(peer)
+        await asyncio.sleep(2 * BEAT_SECONDS)
+        for peer in (reader, follower):
+            assert peer.task is not None and not peer.task.done()
+            assert "run-x" not in peer.instances.record_by_incarnation
+            peer.stop()
+
+    run(test)
+
+
 def test_an_instance_that_reaches_the_store_reads_it_for_its_sources() -> None:
     """The store turns away all readers, and serves another instance."""
 
