Let only the seeds try often while nothing is known and the store is away

Cause: instances without a copy called a store that turned everybody away four times a second each, all of them after a loss of power.

Change: those that are no seeds try once a second; the seeds pass on their copy when they have one.

Before, test_of_instances_that_start_while_the_store_is_away_the_seeds_try_often failed for them.

--- a/src/cassiashore/_internal/ingress/connection.py
+++ b/src/cassiashore/_internal/ingress/connection.py
@@ -225,6 +225,7 @@
         except TimeoutError:
             logger.info("a caller did not read its answer")
             self.abort()
+            # The handler ends as if the caller had closed the connection.
             raise asyncio.CancelledError from None
 
     def abort(self) -> None:
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -86,8 +86,7 @@
                 pause = started + MIN_WATCH_INTERVAL_SECONDS - time.monotonic()
             else:
                 pause = self._retry * (0.5 + self._rng.random())
-                most = SPARE_RETRY_SECONDS if self._is_spare() else MAX_RETRY_SECONDS
-                self._retry = min(most, self._retry * 2)
+                self._retry = min(self._max_retry(), self._retry * 2)
             if pause > 0:
                 await asyncio.sleep(pause)
 
@@ -110,8 +109,13 @@
         rank, count = self._instances.rank_behind_readers(LEAST_READERS)
         return reads_without_sources(state, seconds, rank, count)
 
-    def _is_spare(self) -> bool:
-        return self.is_helping and self._mirror.is_filled
+    def _max_retry(self) -> float:
+        """Return the longest pause after a failed call; those whose task it is to read are quick.
+
+        While nothing is known, the seeds are: all instances may start while the store is away.
+        """
+        is_spare = self.is_helping and (self._mirror.is_filled or not self._starts_as_reader)
+        return SPARE_RETRY_SECONDS if is_spare else MAX_RETRY_SECONDS
 
     async def _read_once(self) -> bool:
         """Make one call; tell whether it brought the mirror up to date."""
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -11,7 +11,11 @@
 from result import Err
 
 from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
-from cassiashore._internal.mirror.follower import StoreFollower
+from cassiashore._internal.mirror.follower import (
+    MAX_RETRY_SECONDS,
+    SPARE_RETRY_SECONDS,
+    StoreFollower,
+)
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.relay import BEAT_SECONDS, FeedRelay
@@ -249,6 +253,37 @@
         self.answered_before.append(self._is_answered())
         return Err(StoreFault("refused", sent=False))
 
+    async def read_all(self) -> Err[StoreFault]:
+        return await self.watch(0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("is_seed", "most"), [(True, MAX_RETRY_SECONDS), (False, SPARE_RETRY_SECONDS)]
+)
+def test_of_instances_that_start_while_the_store_is_away_the_seeds_try_often(
+    is_seed: bool, most: float
+) -> None:
+    """All instances lost power, and the store turns everybody away."""
+
+    async def test() -> None:
+        peer = Peer("a", [])
+        store = UnreachableStore(lambda: False)
+        follower = StoreFollower(
+            store,  # type: ignore[arg-type]
+            peer.mirror,
+            peer.instances,
+            FeedHealth(time.monotonic),
+            is_seed,
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        await until(lambda: follower._retry >= MAX_RETRY_SECONDS)
+        await until(lambda: len(store.answered_before) >= 5)
+        assert follower._retry == most
+        task.cancel()
+
+    run(test)
+
 
 def test_an_instance_whose_turn_it_is_helps_only_once_it_was_answered() -> None:
     """Before its first call, what it knows is as old as what its sources know."""
