--- a/src/cassiashore/_internal/ingress/connection.py
+++ b/src/cassiashore/_internal/ingress/connection.py
@@ -22,14 +22,17 @@
 from cassiashore._internal.ingress.body import BodyFault, RequestBody
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
-from cassiashore._internal.net.http_client import Headers, watch_for_silence
+from cassiashore._internal.net.http_client import (
+    MAX_WITHOUT_BODY_BYTES,
+    Headers,
+    watch_for_silence,
+)
 from cassiashore._internal.steering.routes import IngressLimits
 
 logger = logging.getLogger(__name__)
 
 MAX_PIPELINED = 32  # requests of one connection at a time; reading stops beyond
 LINGER_SECONDS = 1.0  # a caller that still sends gets this long to read a refusal
-MAX_WITHOUT_BODY_BYTES = 64 * 1024  # chunk lines and trailers between two pieces of a body
 
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for zero seconds
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -49,7 +49,7 @@
 MIN_SILENCE_SECONDS = 0.3  # above the round trip between regions and a short queue
 NOT_READY_RETRY_SECONDS = 0.5  # a configuration is there about as long after a start
 NO_TARGET_RETRY_SECONDS = 0.5  # about the time for a change in the store to arrive
-UNREADABLE_RETRY_SECONDS = 2.0  # until operators have corrected the route; less wins nothing
+UNREADABLE_RETRY_SECONDS = 2.0  # operators take longer to correct a route
 SERVER_ERROR = 500
 _REASON_BY_BODY_FAULT = {
     BodyFault.CALLER_LEFT: Reason.DEADLINE,
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -20,8 +20,8 @@
 from cassiashore._internal.models.address import Address
 
 READ_HIGH_WATER_BYTES = 64 * 1024  # one read more may be queued; hundreds of answers come at once
-# Bytes that may come before the next piece of a body: heads, interim and skipped answers, chunk
-# lines, trailers. Eight times what common servers allow for a head.
+# Bytes that may come before the next piece of a body, of an answer or a request: heads, interim and
+# skipped answers, chunk lines, trailers. Eight times what common servers allow for a head.
 MAX_WITHOUT_BODY_BYTES = 64 * 1024
 FEED_BYTES = 64 * 1024  # parsed at a time, so that the limit above holds within one large read
 _BODILESS_STATUSES = frozenset({204, 304})
