Let the expected latency of a target fade while it is not asked

Cause: the adaptive policy goes by a latency that changes with answers only. A target that answered slowly in a burst, and was drained then, got nothing afterwards as long as others had room.

Change: the latency to expect fades to that of an idle target, by half in each second without an answer.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -434,7 +434,7 @@
                 self._eject(target, f"status {answer.head.status} again and again")
             return
         self._poison.acquit(call.fingerprint)
-        target.health.succeeded(answer.seconds)
+        target.health.succeeded(answer.seconds, time.monotonic())
         self._placement.answered(target, call.service, call.key, answer.seconds, chosen.waiting)
 
     def _note_load(self, target: RegisteredTarget, answer: TargetAnswer) -> None:
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -328,7 +328,7 @@
             if state.health.failed():
                 slots.eject_if_allowed(state)
         else:
-            state.health.succeeded(seconds)
+            state.health.succeeded(seconds, time.monotonic())
         self._metrics.observe_latency(exchange.service.name, seconds)
         if self.catalogue is not None and self._is_other_region(exchange):
             region = exchange.home_region
--- a/src/cassiashore/_internal/routing/health.py
+++ b/src/cassiashore/_internal/routing/health.py
@@ -12,6 +12,7 @@
 LATENCY_WEIGHT = 0.2  # of one answer: the mean of some five
 SLOW_START_SECONDS = 3.0  # how long targets are cold
 DEFAULT_LATENCY_SECONDS = 0.005  # before any answer: a target that does nothing
+LATENCY_HALF_LIFE_SECONDS = 1.0  # without an answer: load that made a target slow has mostly ended
 
 
 @dataclass(slots=True)
@@ -24,13 +25,24 @@
     ramp_from: float = float("-inf")
     shed_until: float = 0.0
     latency: float = DEFAULT_LATENCY_SECONDS
+    answered_at: float = float("-inf")
 
-    def succeeded(self, latency: float) -> None:
+    def succeeded(self, latency: float, now: float) -> None:
         """Take in an answer that came after ``latency`` seconds."""
+        self.answered_at = now
         self.failures_in_row = 0
         self.ejections = max(0, self.ejections - 1) if self.ejected_until == 0.0 else 0
         self.latency += LATENCY_WEIGHT * (latency - self.latency)
 
+    def latency_at(self, now: float) -> float:
+        """Return the latency to expect, which fades while the target is not asked.
+
+        Otherwise one that answered slowly in a burst would get nothing more while others have room.
+        """
+        idle = max(0.0, now - self.answered_at)
+        fading = float(0.5 ** (idle / LATENCY_HALF_LIFE_SECONDS))
+        return DEFAULT_LATENCY_SECONDS + (self.latency - DEFAULT_LATENCY_SECONDS) * fading
+
     def failed(self) -> bool:
         """Take in a failure; return whether the target should be ejected."""
         self.failures_in_row += 1
--- a/src/cassiashore/_internal/routing/policies.py
+++ b/src/cassiashore/_internal/routing/policies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -151,9 +152,10 @@
     same digest from all choosing the same place.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        """Keep the source of randomness."""
+    def __init__(self, rng: random.Random, monotonic: Callable[[], float] = time.monotonic) -> None:
+        """Keep the source of randomness and the clock."""
         self._rng = rng
+        self._monotonic = monotonic
 
     def is_good_enough(self, local: Place, objective: Objective) -> bool:
         """Run here when no other place can cost less."""
@@ -168,9 +170,10 @@
 
     def choose_target(self, candidates: list[TargetState]) -> TargetState:
         """Take the candidate that is expected to answer first."""
+        now = self._monotonic()
         return min(
             candidates,
-            key=lambda s: ((s.in_flight + 1) / s.target.slots) * s.health.latency,
+            key=lambda s: ((s.in_flight + 1) / s.target.slots) * s.health.latency_at(now),
         )
 
     def _spread(self, place: Place) -> float:
