Treat an answer of the store with a value that cannot be decoded as a failed call

The value of a key was decoded from base64 outside the checked decoding: an answer with other text raised in the task that follows the store, which ends the process, and again after each restart. msgspec decodes it now with the rest of the answer.

--- a/src/cassiashore/platform/store.py
+++ b/src/cassiashore/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from base64 import b64decode, b64encode
 from collections import Counter
 from collections.abc import Sequence
 from typing import TypeVar
@@ -41,11 +40,14 @@
 
 
 class _Item(msgspec.Struct, rename="kebab"):
-    """A key of the store; in a watch also a removed one, then ``deleted`` is set."""
+    """A key of the store; in a watch also a removed one, then ``deleted`` is set.
+
+    Values are base64 text in JSON, which msgspec decodes.
+    """
 
     key: str
     revision: int
-    value: str = ""
+    value: bytes = b""
     deleted: bool = False
 
 
@@ -156,10 +158,7 @@
         body = {
             # "expected" are rows of keys with the revisions that they must have.
             "expected": [{"key": key, "revision": rev} for key, rev in expected.items()],
-            "writes": [
-                {"key": w.key, "value": b64encode(w.value).decode(), "lease": w.lease_id}
-                for w in writes
-            ],
+            "writes": [{"key": w.key, "value": w.value, "lease": w.lease_id} for w in writes],
             "deletes": list(deletes),
         }
         answer = await self._post("/cassiashore/kv-txn", body, {200, 404, 412})
@@ -235,7 +234,7 @@
 def _change_of(item: _Item) -> Change:
     if item.deleted:
         return Change(item.key, item.revision, None)
-    return Change(item.key, item.revision, b64decode(item.value))
+    return Change(item.key, item.revision, item.value)
 
 
 def _decode(body: bytes, kind: type[ValueT]) -> Result[ValueT, StoreFault]:
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -18,6 +18,7 @@
 from cassiashore._internal.store.client import StoreFault
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.standin import StandinStore
+from cassiashore.platform.store import PlatformStore
 from tests.lib.ingress import RawClient, request
 from tests.lib.platform_builders import (
     entry,
@@ -430,6 +431,33 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"events":[{"key":"a","revision":7,"value":"%%%"}],"current-rev":7}',
+        b'{"events":[{"key":"a","revision":7,"value":"YQ"}],"current-rev":7}',
+        b'{"events":[{"key":"a"}],"current-rev":7}',
+        b'{"events":7}',
+        b"\xff\xfe",
+        b"",
+    ],
+)
+def test_an_answer_of_the_store_that_cannot_be_read_is_a_failed_call(body: bytes) -> None:
+    """Raised in the task that follows the store, the error would end the process."""
+
+    async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    async def test() -> None:
+        target = await FakeTarget(serve).start()
+        store = PlatformStore(Address.parse(target.address))
+        assert isinstance(await store.watch(5, 0.1), Err)
+        assert isinstance(await store.read_all(), Err)
+        store.close()
+
+    run(test)
+
+
 def test_an_instance_that_only_the_store_turns_away_stays_listed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
