Pass the store's changes on through one instance of each failure domain

Change: a failure domain's distributor has the changes from the readers and passes them on (feed_tree); the nearest source sends as soon as it can (sender_choice); who lacks a few changes gets these (recent_changes). Ruled out: fewer beats (two of 20 bytes in 0.4 s).

Also: a listener that fails on one key no longer ends the process, which would read the key again after its restart; a stream whose content breaks its receiver is dialled again, where its task had ended for good; ending a relay no longer logs errors of asyncio.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -180,6 +180,10 @@
         ranks = [i for i, r in enumerate(others) if r.identity.incarnation == own]
         return (ranks[0] if ranks else len(others)), len(others)
 
+    def others_in_order(self, least: int) -> list[InstanceRecord]:
+        """Return the instances that are no readers, in the order in which they would be."""
+        return self._reading_order(least)[1]
+
     def _reading_order(self, least: int) -> tuple[list[InstanceRecord], list[InstanceRecord]]:
         """Return the readers, and the others in the order in which they would take their place."""
         known = self._order_by_least.get(least)
--- a/src/cassiashore/_internal/mirror/mirror.py
+++ b/src/cassiashore/_internal/mirror/mirror.py
@@ -130,5 +130,10 @@
 
     def _tell(self, key: str, value: bytes | None) -> None:
         for prefix, listener in self._listener_by_prefix.items():
-            if key.startswith(prefix):
+            if not key.startswith(prefix):
+                continue
+            try:
                 listener(key.removeprefix(prefix), value)
+            except Exception:
+                # Each restart would read the same value again and fail on it again.
+                logger.exception('the value of key "%s" could not be applied', key)
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -11,10 +11,13 @@
 
 from cassiashore._internal.exceptions import ProtocolViolationError
 from cassiashore._internal.mirror.feed_health import FeedHealth
+from cassiashore._internal.mirror.feed_tree import FeedTree
 from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
+from cassiashore._internal.mirror.recent_changes import RecentChanges
 from cassiashore._internal.mirror.renewals import PeerRenewals
+from cassiashore._internal.mirror.sender_choice import SenderChoice
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers import link as links
 from cassiashore._internal.peers.link import PeerLink
@@ -46,7 +49,6 @@
 MAX_SOURCES = 2  # the one that sends changes, and one on standby
 BOOT_SOURCES = 3  # as many seeds as the settings name
 LINK_SILENCE_SECONDS = 2.0  # five beats: a stream that went silent without a reset
-BEHIND_SECONDS = 0.3  # that a standby source knows more than the one that sends the changes
 _LINK_ERRORS = (
     OSError,
     asyncio.IncompleteReadError,
@@ -60,11 +62,11 @@
     """Subscribes to instances that read the store, and serves those that subscribe here.
 
     One source sends the changes. The others are on standby and send beats only, until the first one
-    ends or they know more than it: most of the bytes would come twice otherwise, and from other
-    regions.
+    ends or they know more than it: most of the bytes would come twice otherwise. ``feed_tree`` says
+    which instances are the sources.
 
-    An instance that reads the store because its sources cannot, a helper, sends them beats as well;
-    they then subscribe to it over the same stream.
+    An instance that reads the store because the readers cannot, a helper, has these as its sources
+    and sends them beats as well; they then subscribe to it over the same stream.
     """
 
     def __init__(
@@ -94,11 +96,14 @@
         self._subscribers: set[PeerLink] = set()
         self._standbys: set[PeerLink] = set()
         self._sender: PeerLink | None = None
-        self._behind_since: float | None = None
+        self._preferred: list[str] = []
+        self._sender_choice = SenderChoice()
+        self._recent = RecentChanges()
         self._packed: tuple[int, bytes] = (0, b"")
+        self._beaten_at = float("-inf")
         self._source_by_address: dict[Address, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
-        self._accepted: set[asyncio.Task[None]] = set()
+        self._accepted: set[asyncio.StreamWriter] = set()
         mirror.on_batch = self._publish
 
     @property
@@ -115,29 +120,28 @@
         while True:
             self._follow_sources()
             self._end_helping()
-            self._beat()
+            self._beat_if_due()
             await asyncio.sleep(BEAT_SECONDS)
 
     def close(self) -> None:
         """End all streams."""
         if self._server is not None:
             self._server.close()
-        for task in [*self._source_by_address.values(), *self._accepted]:
+        for task in self._source_by_address.values():
             task.cancel()
-        for link in self._subscribers:
-            link.close()
+        # Cancelling the task of an accepted stream would be logged by asyncio as an error.
+        for writer in self._accepted:
+            writer.close()
 
     # Serving subscribers.
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._accepted.add(task)
+        self._accepted.add(writer)
         try:
             link = await links.accept(reader, writer, self._own, self._key)
         except _LINK_ERRORS as error:
             logger.debug("a stream ended before it was set up: %s", error)
-            self._accepted.discard(task)
+            self._accepted.discard(writer)
             return
         try:
             while True:
@@ -147,7 +151,7 @@
         finally:
             self._subscribers.discard(link)
             self._standbys.discard(link)
-            self._accepted.discard(task)
+            self._accepted.discard(writer)
             if self._helper is link:
                 self._helper = None
             link.abort()
@@ -189,9 +193,10 @@
         self._peers_current_at = max(self._peers_current_at, now - age)
         self._mirror.confirmed(now, age)
 
-    async def renew_elsewhere(self, lease_id: int) -> bool:
-        """Have a lease renewed by one of the sources; tell whether it was."""
-        return await self.renewals.ask(lease_id, self._link_by_source.values())
+    async def renew_elsewhere(self, lease_id: int, *, may_pass_on: bool = True) -> bool:
+        """Have a lease renewed by one of the sources or, if they may ask, by one of theirs."""
+        wanted = RenewalWanted(lease_id, may_pass_on)
+        return await self.renewals.ask(wanted, self._link_by_source.values())
 
     def tell_leaving(self) -> None:
         """Tell the others that this instance leaves."""
@@ -217,12 +222,20 @@
             self._subscribers.discard(link)
             self._standbys.add(link)
         else:
-            if self._mirror.is_filled and wanted.revision < self._mirror.revision:
-                link.send(FeedSnapshot(self._packed_snapshot()))
+            self._bring_up_to_date(link, wanted.revision)
             self._standbys.discard(link)
             self._subscribers.add(link)
         self._beat_to([link])
 
+    def _bring_up_to_date(self, link: PeerLink, revision: int) -> None:
+        if not self._mirror.is_filled or revision >= self._mirror.revision:
+            return
+        missing = self._recent.after(revision)
+        if missing is not None:
+            link.send(FeedChanges(pack(missing)))
+        else:
+            link.send(FeedSnapshot(self._packed_snapshot()))
+
     def _packed_snapshot(self) -> bytes:
         """Return the copy as it goes out; after a restart of all instances many ask for it."""
         if self._packed[0] != self._mirror.revision:
@@ -230,12 +243,19 @@
         return self._packed[1]
 
     def _publish(self, batch: ChangeBatch) -> None:
+        self._recent.add(batch)
         if self._subscribers:
             message = FeedChanges(pack(batch))
             for link in self._subscribers:
                 link.send(message)
 
+    def _beat_if_due(self) -> None:
+        """Send beats unless the sender's were just passed on."""
+        if time.monotonic() - self._beaten_at >= BEAT_SECONDS:
+            self._beat()
+
     def _beat(self) -> None:
+        self._beaten_at = time.monotonic()
         helped = self._link_by_source.values() if self.is_helping() else ()
         self._beat_to({*self._subscribers, *self._standbys, *helped})
 
@@ -255,52 +275,62 @@
 
     def _follow_sources(self) -> None:
         wanted = self._wanted_sources()
+        self._preferred = [str(address) for address in wanted]
         for address in wanted:
             if address not in self._source_by_address:
                 self._source_by_address[address] = asyncio.create_task(self._follow(address))
         for address in [a for a in self._source_by_address if a not in wanted]:
             self._source_by_address.pop(address).cancel()
 
-    def _wanted_sources(self) -> set[Address]:
-        """Return the addresses of the nearest readers, or of seeds while none is known."""
+    def _wanted_sources(self) -> list[Address]:
+        """Return the addresses of the sources, preferred ones first.
+
+        Seeds while no instance is known.
+        """
         own = self._instances.own
         readers = self._instances.store_readers(LEAST_READERS)
-        others = [r for r in readers if r.identity.incarnation != own.identity.incarnation]
-        if len(others) < len(readers) and not self.is_failing():
-            return set()
-        if not others:
+        is_reader = any(r.identity.incarnation == own.identity.incarnation for r in readers)
+        if is_reader and not self.is_failing():
+            return []
+        tree = FeedTree.of(readers, self._instances.others_in_order(LEAST_READERS))
+        if is_reader or self.is_helping():
+            sources = tree.nearest_readers(own, self._region_distance)
+        else:
+            sources = tree.sources_of(own, self._region_distance)
+        if not sources:
             if self._mirror.is_filled:
-                return set()
+                return []
             seeds = [s for s in self._seeds if str(s) != own.identity.peer_address]
-            return set(seeds[:BOOT_SOURCES])
-        others.sort(key=lambda r: self._region_distance(r.region))
-        return {Address.parse(r.identity.peer_address) for r in others[:MAX_SOURCES]}
+            return seeds[:BOOT_SOURCES]
+        return [Address.parse(r.identity.peer_address) for r in sources[:MAX_SOURCES]]
 
     async def _follow(self, address: Address) -> None:
         while True:
             try:
-                link = await links.dial(address, self._own, self._key)
-            except _LINK_ERRORS as error:
-                logger.info("subscribing to %s failed: %s", address, error)
-                filled = self._mirror.is_filled
-                await asyncio.sleep(REDIAL_SECONDS if filled else BOOT_REDIAL_SECONDS)
-                continue
-            logger.info("subscribed to %s at %s", link.peer.instance, address)
-            self._link_by_source[address] = link
-            try:
-                await self._receive(link)
+                await self._follow_once(address)
             except _LINK_ERRORS as error:
                 logger.info("the subscription to %s ended: %s", address, error)
-            finally:
-                self._link_by_source.pop(address, None)
-                self._subscribers.discard(link)
-                self._standbys.discard(link)
-                link.abort()
-                self._sender_ended(link)
-            await asyncio.sleep(REDIAL_SECONDS)
+            except Exception:
+                # The address comes from the store, and so does what the stream carries.
+                logger.exception("the subscription to %s failed", address)
+            await asyncio.sleep(REDIAL_SECONDS if self._mirror.is_filled else BOOT_REDIAL_SECONDS)
+
+    async def _follow_once(self, address: Address) -> None:
+        """Subscribe and receive until the stream ends, which raises."""
+        link = await links.dial(address, self._own, self._key)
+        logger.info("subscribed to %s at %s", link.peer.instance, address)
+        self._link_by_source[address] = link
+        try:
+            await self._receive(link)
+        finally:
+            self._link_by_source.pop(address, None)
+            self._subscribers.discard(link)
+            self._standbys.discard(link)
+            link.abort()
+            self._sender_ended(link)
 
     async def _receive(self, link: PeerLink) -> None:
-        if self._sender is None:
+        if self._sender is None or self._is_preferred(link):
             self._take_changes_from(link)
         else:
             link.send(FeedWanted(self._mirror.revision, is_standby=True))
@@ -327,13 +357,15 @@
         elif beat.revision <= self._mirror.revision:
             self.feed.current(source, is_direct=beat.is_direct)
             self._confirm(age)
+            if link is self._sender:
+                self._beat()  # at once: knowledge that waits at each hop would count as old
 
     def _take_changes_from(self, link: PeerLink) -> None:
         """Let one source send the changes, and the one that did before only beats."""
         if self._sender is not None:
             self._sender.send(FeedWanted(self._mirror.revision, is_standby=True))
         self._sender = link
-        self._behind_since = None
+        self._sender_choice = SenderChoice()
         link.send(FeedWanted(self._mirror.revision, is_standby=False))
 
     def _sender_ended(self, link: PeerLink) -> None:
@@ -343,14 +375,22 @@
                 self._take_changes_from(other)
                 return
 
+    def _is_preferred(self, link: PeerLink) -> bool:
+        """Tell whether a source is preferred to the one that sends the changes."""
+        if self._sender is None or len(self._preferred) < 2:
+            return False
+        return (
+            link.peer.peer_address == self._preferred[0]
+            and self._sender.peer.peer_address != self._preferred[0]
+        )
+
     def _note_standby(self, link: PeerLink, beat: FeedBeat, now: float) -> None:
-        """Change over to a standby source that has known more for a while."""
+        """Change over to a standby source if that is better."""
         if link is self._sender:
             return
-        if beat.revision <= self._mirror.revision:
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
-        elif now - self._behind_since >= BEHIND_SECONDS:
+        ahead = beat.revision - self._mirror.revision
+        is_current = beat.age_ms / 1000 < FRESH_SECONDS
+        is_preferred = is_current and self._is_preferred(link)
+        if self._sender_choice.takes_over(ahead, now, is_preferred=is_preferred):
             logger.info("%s sends the changes from now on", link.peer.instance)
             self._take_changes_from(link)
--- a/src/cassiashore/_internal/mirror/renewals.py
+++ b/src/cassiashore/_internal/mirror/renewals.py
@@ -15,7 +15,7 @@
 
 ANSWER_SECONDS = 0.8  # a call to the store and a round trip; the rest of the lease allows two
 
-Renew = Callable[[int], Awaitable[bool]]
+Renew = Callable[[RenewalWanted], Awaitable[bool]]
 
 
 class PeerRenewals:
@@ -27,12 +27,13 @@
         self._answer_by_lease: dict[int, asyncio.Future[bool]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def ask(self, lease_id: int, links: Iterable[PeerLink]) -> bool:
+    async def ask(self, wanted: RenewalWanted, links: Iterable[PeerLink]) -> bool:
         """Ask instances one after the other; tell whether one of them renewed the lease."""
+        lease_id = wanted.lease_id
         for link in list(links):
             answer = asyncio.get_running_loop().create_future()
             self._answer_by_lease[lease_id] = answer
-            link.send(RenewalWanted(lease_id))
+            link.send(wanted)
             try:
                 async with asyncio.timeout(ANSWER_SECONDS):
                     if await answer:
@@ -51,10 +52,10 @@
 
     def wanted(self, link: PeerLink, message: RenewalWanted) -> None:
         """Renew the lease of another instance."""
-        task = asyncio.create_task(self._serve(link, message.lease_id))
+        task = asyncio.create_task(self._serve(link, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, link: PeerLink, lease_id: int) -> None:
-        is_renewed = self.renew is not None and await self.renew(lease_id)
-        link.send(RenewalDone(lease_id, is_renewed))
+    async def _serve(self, link: PeerLink, wanted: RenewalWanted) -> None:
+        is_renewed = self.renew is not None and await self.renew(wanted)
+        link.send(RenewalDone(wanted.lease_id, is_renewed))
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -216,9 +216,13 @@
 
 
 class RenewalWanted(_Message, frozen=True, tag=21):
-    """Asks to renew a lease of the sender, which the store turns away."""
+    """Asks to renew the lease of an instance that the store turns away.
+
+    ``may_pass_on`` tells that the receiver may ask its own sources, which reach the store.
+    """
 
     lease_id: int
+    may_pass_on: bool = True
 
 
 class RenewalDone(_Message, frozen=True, tag=22):
--- /dev/null
+++ b/tests/unit/test_feed_tree.py
@@ -0,0 +1,92 @@
+"""Who has the changes of the store from whom, with hundreds of instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from cassiashore._internal.mirror.feed_tree import FeedTree
+from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
+from cassiashore._internal.peers.messages import Identity
+
+LEAST_READERS = 2
+
+
+def deployment(regions: int, domains: int, members: int) -> list[InstanceRecord]:
+    """Return instances of ``regions`` regions with as many failure domains and members each."""
+    records = []
+    for region in range(regions):
+        for domain in range(domains):
+            for member in range(members):
+                name = f"{region}-{domain}-{member}"
+                identity = Identity(
+                    name, f"run-{name}", f"d-{region}-{domain}", "127.0.0.1:1", "127.0.0.1:2"
+                )
+                records.append(InstanceRecord(identity, f"r-{region}", 1.0))
+    return records
+
+
+def sources_by_instance(records: list[InstanceRecord]) -> dict[str, list[InstanceRecord]]:
+    """Return the sources of all instances that are no readers, each by its own knowledge."""
+    found = {}
+    for own in records:
+        table = InstanceTable(own)
+        for record in records:
+            table.changed(record.identity.incarnation, encode_record(record))
+        readers = table.store_readers(LEAST_READERS)
+        if own in readers:
+            continue
+        tree = FeedTree.of(readers, table.others_in_order(LEAST_READERS))
+        found[own.identity.incarnation] = tree.sources_of(
+            own, lambda region, near=own.region: 0.0 if region == near else 0.04
+        )
+    return found
+
+
+@pytest.mark.parametrize(
+    ("regions", "domains", "members"), [(1, 1, 3), (1, 1, 9), (3, 2, 1), (3, 3, 8), (2, 4, 20)]
+)
+def test_no_instance_sends_to_more_than_its_failure_domain_and_one_of_each_other(
+    regions: int, domains: int, members: int
+) -> None:
+    sources = sources_by_instance(deployment(regions, domains, members))
+    senders = Counter(found[0].identity.incarnation for found in sources.values())
+    assert max(senders.values()) <= members + regions * domains
+    standbys = Counter(f[1].identity.incarnation for f in sources.values() if len(f) > 1)
+    assert max(standbys.values()) <= members + regions * domains
+
+
+@pytest.mark.parametrize(("regions", "domains", "members"), [(1, 1, 9), (3, 3, 8), (2, 4, 20)])
+def test_whatever_source_is_used_the_way_to_a_reader_is_short(
+    regions: int, domains: int, members: int
+) -> None:
+    """A circle of instances that follow each other would never learn anything."""
+    sources = sources_by_instance(deployment(regions, domains, members))
+
+    def hops(incarnation: str) -> int:
+        if incarnation not in sources:
+            return 0
+        return 1 + max(hops(found.identity.incarnation) for found in sources[incarnation])
+
+    assert max(hops(incarnation) for incarnation in sources) <= 2
+
+
+def test_two_sources_of_an_instance_are_in_different_failure_domains() -> None:
+    for found in sources_by_instance(deployment(3, 3, 8)).values():
+        assert found[0].identity.failure_domain != found[1].identity.failure_domain
+
+
+def test_an_instance_that_is_not_registered_follows_the_readers() -> None:
+    records = deployment(3, 3, 4)
+    newcomer = InstanceRecord(Identity("x", "run-x", "d-9", "127.0.0.1:1", "127.0.0.1:2"), "r-0", 1)
+    table = InstanceTable(newcomer)
+    for record in records:
+        table.changed(record.identity.incarnation, encode_record(record))
+    readers = table.store_readers(LEAST_READERS)
+    tree = FeedTree.of(readers, table.others_in_order(LEAST_READERS))
+    found = tree.sources_of(newcomer, lambda region: 0.0 if region == "r-0" else 0.04)
+    assert found[0].region == "r-0"
+    assert {record.identity.incarnation for record in found} == {
+        reader.identity.incarnation for reader in readers
+    }
--- a/tests/unit/test_mirror.py
+++ b/tests/unit/test_mirror.py
@@ -8,6 +8,12 @@
 from hypothesis import strategies as st
 
 from cassiashore._internal.mirror.mirror import RETURN_SECONDS, StoreMirror
+from cassiashore._internal.mirror.recent_changes import MAX_CHANGES, RecentChanges
+from cassiashore._internal.mirror.sender_choice import (
+    BEHIND_SECONDS,
+    LEVEL_SECONDS,
+    SenderChoice,
+)
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 from tests.lib.steering_builders import Clock
 
@@ -91,3 +97,78 @@
             mirror.apply(ChangeBatch(begin, end, log[begin:end]))
         state = {c.key: c.value for c in copies[mirror.revision].items}
         assert seen == state
+
+
+def test_a_value_that_breaks_its_listener_keeps_none_of_the_others_from_applying() -> None:
+    """The process would end and, started again, read the same value again."""
+    mirror, seen = listening()
+
+    def fails(key: str, value: bytes | None) -> None:
+        raise RuntimeError("unexpected")
+
+    mirror.listen("bad/", fails)
+    mirror.replace(Snapshot(5, [Change("bad/a", 3, b"1"), Change("b", 4, b"2")]))
+    assert mirror.apply(ChangeBatch(5, 7, [Change("bad/a", 6, b"3"), Change("c", 7, b"4")]))
+    assert mirror.revision == 7 and {"b", "c"} <= set(seen)
+
+
+@seed(11)
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), max_size=4),
+        min_size=1,
+        max_size=12,
+    ),
+    st.data(),
+)
+def test_recent_changes_bring_any_known_state_up_to_date(
+    batches: list[list[tuple[str, bool]]], data: st.DataObject
+) -> None:
+    mirror, recent = StoreMirror(Clock()), RecentChanges()
+    copies = []
+    mirror.on_batch = recent.add
+    revision = 1
+    mirror.replace(Snapshot(1, [Change("a", 1, b"0")]))
+    copies.append(mirror.snapshot())
+    for batch in batches:
+        changes = []
+        for key, is_written in batch:
+            revision += 1
+            changes.append(Change(key, revision, b"%d" % revision if is_written else None))
+        mirror.apply(ChangeBatch(mirror.revision, revision, changes))
+        copies.append(mirror.snapshot())
+    known = data.draw(st.sampled_from(copies))
+    late = StoreMirror(Clock())
+    late.replace(known)
+    missing = recent.after(known.revision)
+    assert missing is not None
+    assert late.apply(missing)
+    assert late.item_by_key == mirror.item_by_key and late.revision == mirror.revision
+
+
+def test_recent_changes_are_bounded_and_without_a_gap() -> None:
+    recent = RecentChanges()
+    for revision in range(1, 2 * MAX_CHANGES):
+        recent.add(ChangeBatch(revision, revision + 1, [Change("a", revision + 1, b"")]))
+    assert recent.after(1) is None and recent.after(2 * MAX_CHANGES - 10) is not None
+    recent.add(ChangeBatch(9 * MAX_CHANGES, 9 * MAX_CHANGES + 1, []))
+    assert recent.after(2 * MAX_CHANGES - 10) is None
+
+
+def test_the_preferred_source_sends_again_once_it_has_known_as_much_for_a_while() -> None:
+    choice = SenderChoice()
+    assert not choice.takes_over(0, 0.0, is_preferred=True)
+    assert not choice.takes_over(-1, 1.0, is_preferred=True)
+    assert not choice.takes_over(0, 2.0, is_preferred=True)
+    assert not choice.takes_over(0, 1.9 + LEVEL_SECONDS, is_preferred=True)
+    assert choice.takes_over(0, 2.0 + LEVEL_SECONDS, is_preferred=True)
+    assert not choice.takes_over(0, 9.0, is_preferred=False)
+
+
+def test_a_source_that_is_ahead_for_a_moment_only_does_not_take_over() -> None:
+    choice = SenderChoice()
+    assert not choice.takes_over(1, 0.0, is_preferred=False)
+    assert not choice.takes_over(0, 0.2, is_preferred=False)
+    assert not choice.takes_over(1, 0.4, is_preferred=False)
+    assert choice.takes_over(1, 0.5 + BEHIND_SECONDS, is_preferred=False)
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -20,7 +21,8 @@
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.relay import BEAT_SECONDS, FeedRelay
 from cassiashore._internal.models.address import Address
-from cassiashore._internal.peers.messages import Identity
+from cassiashore._internal.peers.link import PeerLink
+from cassiashore._internal.peers.messages import FeedBeat, Identity, RenewalWanted
 from cassiashore._internal.store.client import StoreFault
 from cassiashore._internal.store.events import Change, ChangeBatch, Snapshot
 from tests.lib.platform_builders import free_port, until
@@ -33,10 +35,13 @@
 class Peer:
     """An instance with a mirror and a relay."""
 
-    def __init__(self, name: str, seeds: list[Address]) -> None:
+    def __init__(
+        self, name: str, seeds: list[Address], domain: str = "", region: str = "erie"
+    ) -> None:
         self.address = Address("127.0.0.1", free_port())
-        identity = Identity(name, f"run-{name}", f"erie-{name}", "127.0.0.1:1", str(self.address))
-        self.record = InstanceRecord(identity, "erie", 1.0)
+        domain = domain or f"erie-{name}"
+        identity = Identity(name, f"run-{name}", domain, "127.0.0.1:1", str(self.address))
+        self.record = InstanceRecord(identity, region, 1.0)
         self.mirror = StoreMirror(time.monotonic)
         self.instances = InstanceTable(self.record)
         self.relay = FeedRelay(
@@ -44,6 +49,10 @@
         )
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def domain(self) -> str:
+        return self.record.identity.failure_domain
+
     async def start(self) -> Peer:
         await self.relay.listen(self.address)
         self.task = asyncio.create_task(self.relay.run())
@@ -242,6 +251,160 @@
     run(test)
 
 
+async def in_domains(names: list[str], domains: int) -> list[Peer]:
+    """Start instances that know each other, in failure domains by turns."""
+    peers = [
+        await Peer(name, [], domain=f"erie-{number % domains}").start()
+        for number, name in enumerate(names)
+    ]
+    registered(*peers)
+    for peer in peers:
+        peer.mirror.replace(Snapshot(5, [Change("a", 3, b"1")]))
+        current(peer)
+    return peers
+
+
+def test_a_reader_sends_its_changes_to_one_instance_of_each_other_failure_domain() -> None:
+    """Sent to each instance of a region, they fill the link of the reader."""
+
+    async def test() -> None:
+        peers = await in_domains([f"i-{n}" for n in range(18)], domains=3)
+        readers = [p for p in peers if p.record in peers[0].instances.store_readers(2)]
+        refreshing = [asyncio.create_task(keep_current(reader)) for reader in readers]
+        followers = [p for p in peers if p not in readers]
+        await until(lambda: all(p.relay._sender is not None for p in followers))
+        await until(lambda: all(len(p.relay._link_by_source) == 2 for p in followers))
+        for reader in readers:
+            own = [p for p in followers if p.domain == reader.domain]
+            assert len(reader.relay._subscribers) <= len(own) + 2
+            reader.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
+        await until(lambda: all(p.mirror.revision == 6 for p in peers))
+        await asyncio.sleep(4 * BEAT_SECONDS)
+        assert all(p.relay.feed.state()[0] is FeedState.CURRENT for p in followers)
+        for task in refreshing:
+            task.cancel()
+        for peer in peers:
+            peer.stop()
+
+    run(test)
+
+
+def test_an_instance_that_reaches_the_store_reads_it_for_other_failure_domains_as_well() -> None:
+    """The store turns away the readers; their distributors do not call it."""
+
+    async def test() -> None:
+        peers = await in_domains([f"i-{n}" for n in range(12)], domains=3)
+        readers = [p for p in peers if p.record in peers[0].instances.store_readers(2)]
+        for reader in readers:
+            reader.relay.is_failing = lambda: True
+        others = [p for p in peers if p not in readers]
+        await until(lambda: all(p.relay.feed.state()[0] is FeedState.FAILING for p in others))
+        helper = others[-1]
+        helper.relay.is_answered = helper.relay.is_helping = lambda: True
+        refreshing = asyncio.create_task(keep_current(helper))
+        helper.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
+        await until(lambda: all(p.mirror.revision == 6 for p in peers))
+        rest = [p for p in others if p is not helper]
+        await until(lambda: all(p.relay.feed.state()[0] is FeedState.CURRENT for p in rest))
+        refreshing.cancel()
+        for peer in peers:
+            peer.stop()
+
+    run(test)
+
+
+def test_an_instance_that_lacks_a_few_changes_gets_no_whole_copy() -> None:
+    """Sources change whenever an instance starts or ends; copies would be most of the bytes."""
+
+    async def test() -> None:
+        reader = await Peer("a", []).start()
+        reader.mirror.replace(Snapshot(5, [Change(f"servers/{n}", 3, b"1") for n in range(50)]))
+        refreshing = asyncio.create_task(keep_current(reader))
+        follower = Peer("b", [])
+        follower.instances.changed(reader.record.identity.incarnation, encode_record(reader.record))
+        follower.mirror.replace(reader.mirror.snapshot())
+        for revision in (6, 7, 8):
+            change = Change(f"servers/{revision}", revision, b"2")
+            reader.mirror.apply(ChangeBatch(revision - 1, revision, [change]))
+        reader.relay._packed_snapshot = None  # type: ignore[method-assign,assignment]
+        await follower.start()
+        await until(lambda: follower.mirror.revision == 8)
+        assert follower.mirror.item_by_key == reader.mirror.item_by_key
+        refreshing.cancel()
+        reader.stop()
+        follower.stop()
+
+    run(test)
+
+
+def test_a_lease_is_renewed_by_a_reader_when_the_distributor_is_turned_away_as_well() -> None:
+    async def test() -> None:
+        peers = await in_domains([f"i-{n}" for n in range(12)], domains=3)
+        readers = [p for p in peers if p.record in peers[0].instances.store_readers(2)]
+        asked: list[str] = []
+
+        def renewing(peer: Peer) -> Callable[[RenewalWanted], Awaitable[bool]]:
+            async def renew(wanted: RenewalWanted) -> bool:
+                asked.append(peer.record.identity.instance)
+                if peer in readers:
+                    return True
+                if wanted.may_pass_on:
+                    return await peer.relay.renew_elsewhere(wanted.lease_id, may_pass_on=False)
+                return False
+
+            return renew
+
+        for peer in peers:
+            peer.relay.renewals.renew = renewing(peer)
+        others = [p for p in peers if p not in readers]
+        await until(lambda: all(len(p.relay._link_by_source) == 2 for p in others))
+        assert [await p.relay.renew_elsewhere(7) for p in others] == [True] * len(others)
+        assert len(asked) <= 2 * len(others)
+        for peer in peers:
+            peer.stop()
+
+    run(test)
+
+
+def test_a_stream_that_brings_what_breaks_its_receiver_is_dialled_again() -> None:
+    async def test() -> None:
+        reader = await Peer("a", []).start()
+        follower = Peer("b", [])
+        follower.instances.changed(reader.record.identity.incarnation, encode_record(reader.record))
+        reader.mirror.replace(Snapshot(5, [Change("a", 3, b"1")]))
+        refreshing = asyncio.create_task(keep_current(reader))
+        take_beat, calls = follower.relay._take_beat, [0]
+
+        def fails_once(link: PeerLink, beat: FeedBeat) -> None:
+            calls[0] += 1
+            if calls[0] == 1:
+                raise RuntimeError("unexpected")
+            take_beat(link, beat)
+
+        follower.relay._take_beat = fails_once  # type: ignore[method-assign]
+        await follower.start()
+        await until(lambda: follower.relay.feed.state()[0] is FeedState.CURRENT)
+        refreshing.cancel()
+        reader.stop()
+        follower.stop()
+
+    run(test)
+
+
+def test_ending_a_relay_is_no_error(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        reader = await Peer("a", []).start()
+        follower = await Peer("b", [reader.address]).start()
+        reader.mirror.replace(Snapshot(5, []))
+        await until(lambda: reader.relay._subscribers)
+        reader.stop()
+        follower.stop()
+        await asyncio.sleep(0.1)
+
+    run(test)
+    assert [record for record in caplog.records if record.levelno >= logging.ERROR] == []
+
+
 class UnreachableStore:
     """A store of which the first watch fails."""
 
