Compare a target's answers with those for objects that are as well known

Cause: a target counted as slow when its answers took twice the service's mean. The first run of an object takes several times as long as later ones at any target, so an instance that saw a target make objects anew sent their next requests where they had to be made again.

Change: the slowness of a target is the mean ratio of its answer times to the usual ones for kept objects, or for others. Ruled out: a longer mean (a slow target is then noticed late).

--- a/src/cassiashore/_internal/steering/load.py
+++ b/src/cassiashore/_internal/steering/load.py
@@ -6,13 +6,15 @@
 
 OTHERS_WEIGHT = 0.4  # of a new report, which is one moment of a load that varies
 OTHERS_HALF_LIFE_SECONDS = 1.5  # a few answer times: an old report says little
-SERVICE_TIME_WEIGHT = 0.15  # of one answer: the mean of some seven at one target
+SLOWNESS_WEIGHT = 0.15  # of one answer: the mean of some seven at one target
 
 
 @dataclass(slots=True)
 class TargetLoad:
     """Requests at a target: this instance's own, and an estimate of those of other instances.
 
+    ``slowness`` is the ratio of its answer times to the usual ones.
+
     Targets report their load with their answers. Between reports the part of the other instances
     is an average that fades, since it is not known whether they still send.
     """
@@ -21,7 +23,7 @@
     others: float = 0.0
     reported_at: float = float("-inf")
     heard_at: float = float("-inf")
-    answer_seconds: float = 0.0
+    slowness: float = 1.0
 
     def report(self, busy: int, now: float) -> None:
         """Take in a target's own count of requests running and waiting, the answered one gone."""
@@ -41,10 +43,12 @@
         """Return the estimated requests at the target."""
         return self.in_flight + self.others_at(now)
 
-    def answered(self, seconds: float, now: float) -> None:
-        """Take in the time that an answer took."""
+    def answered(self, seconds: float, usual: float, now: float) -> None:
+        """Take in the time that an answer took, and the usual one at all targets (0: unknown).
+
+        The usual time is that of objects that are as well known: an object that is made anew takes
+        several times as long as a kept one, at any target.
+        """
         self.heard_at = now
-        if self.answer_seconds == 0.0:
-            self.answer_seconds = seconds
-        else:
-            self.answer_seconds += SERVICE_TIME_WEIGHT * (seconds - self.answer_seconds)
+        if usual > 0.0:
+            self.slowness += SLOWNESS_WEIGHT * (seconds / usual - self.slowness)
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -37,7 +37,7 @@
 TIME_WEIGHT = 0.05  # of one answer: the mean of some twenty
 PREFERENCE = 1.15  # the first ranked is taken unless another is faster by more than this
 KEPT_KEYS = 64  # keys remembered for each target
-MIN_SLOWNESS = 2.0  # ratio to the service's mean from which a target counts as slow
+MIN_SLOWNESS = 2.0  # ratio to the service's usual times from which a target counts as slow
 LEAST_LOADED_SAMPLE = 2  # estimated beside the first: the power of two choices
 OVERFLOW_UTILISATION = 0.8  # of the next ranked targets, up to which they take another's key
 SPREAD_UTILISATION = 0.5  # of any other target
@@ -59,6 +59,10 @@
         else:
             self.unknown = _blend(self.unknown, seconds)
 
+    def usual(self, *, is_warm: bool) -> float:
+        """Return the time of answers for objects that are as well known; 0 before any."""
+        return self.warm if is_warm else self.unknown
+
     def learn_at_least(self, seconds: float) -> None:
         """Take in that an object of which nothing was known took longer than this."""
         self.unknown = _blend(self.unknown, max(self.unknown, seconds))
@@ -153,7 +157,8 @@
             work = times.warm_or(objective)
         else:
             work = times.unknown_or(objective)
-        work *= self._slowness(target, times)
+        if target.load.slowness >= MIN_SLOWNESS:
+            work *= target.load.slowness
         slots = max(1, target.report.slots)
         over = target.load.busy(now) + 1 - slots
         typical = times.mean or objective * WARM_SHARE
@@ -193,8 +198,9 @@
     ) -> None:
         """Learn from an answer that took ``seconds``, of which it presumably ``waited`` some."""
         work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
-        self.times(service).learn(work, is_warm=self.is_warm(target, key))
-        target.load.answered(work, self._monotonic())
+        times, is_warm = self.times(service), self.is_warm(target, key)
+        target.load.answered(work, times.usual(is_warm=is_warm), self._monotonic())
+        times.learn(work, is_warm=is_warm)
         self._note_key(target, key)
 
     def unanswered(
@@ -207,10 +213,11 @@
         keeps the object of a run that it did not finish.
         """
         work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
+        times = self.times(service)
         if self.is_warm(target, key):
-            target.load.answered(work, self._monotonic())
+            target.load.answered(work, times.warm, self._monotonic())
         else:
-            self.times(service).learn_at_least(work)
+            times.learn_at_least(work)
         self._note_key(target, key)
 
     def _note_key(self, target: RegisteredTarget, key: str) -> None:
@@ -224,12 +231,6 @@
         """Drop what is known of a target that is gone."""
         self._keys_by_target.pop(target_id, None)
 
-    def _slowness(self, target: RegisteredTarget, times: ServiceTimes) -> float:
-        if target.load.answer_seconds == 0.0 or times.mean == 0.0:
-            return 1.0
-        ratio = target.load.answer_seconds / times.mean
-        return ratio if ratio >= MIN_SLOWNESS else 1.0
-
     def _rank(
         self, service: str, key: str, objective: float, homes: frozenset[str]
     ) -> list[RegisteredTarget]:
