--- a/src/cassiashore/_internal/ingress/answering.py
+++ b/src/cassiashore/_internal/ingress/answering.py
@@ -112,7 +112,6 @@
             service=call.service,
             key=call.key,
             version=call.version,
-            favoured=call.is_favoured,
             left_s=round(call.deadline - time.monotonic(), 3),
             steps=call.steps,
             result=result,
--- a/src/cassiashore/_internal/ingress/call.py
+++ b/src/cassiashore/_internal/ingress/call.py
@@ -48,7 +48,6 @@
     key: str
     deadline: float
     version: int
-    is_favoured: bool = False
     fingerprint: int = 0
     sends: int = 0
     may_have_run: int = 0
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -40,7 +40,6 @@
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
-from cassiashore._internal.steering.tries import TryMemory
 
 PREFIX_BYTES = 64 * 1024  # bodies up to this are taken whole first, and can be sent again
 MAX_DEADLINE_DIGITS = 9  # milliseconds: eleven days
@@ -92,7 +91,6 @@
         self._answering = Answering(edge, decisions, metrics)
         self._rng = rng
         self._split = SplitChooser()
-        self._tries = TryMemory()
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self._own_request_headers = frozenset(
             {edge.deadline_ms, edge.expect_target, b"content-length"}
@@ -194,11 +192,9 @@
 
     def _call(self, request: IngressRequest, route: Route, version: int, send: Send) -> Call:
         longest = route.timeout
-        is_favoured = False
         given = request.header(self._edge.deadline_ms)
         if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
             longest = int(given) / 1000
-            is_favoured = self._tries.is_favoured(route.name, longest)
         key = (
             cookie_of(request.headers, self._edge.affinity_cookie) if route.uses_affinity else None
         )
@@ -209,7 +205,6 @@
             key or send.request_id.decode("latin-1"),
             request.received_at + min(longest, route.timeout),
             version,
-            is_favoured,
         )
         affinity = key or ""
         call.fingerprint = fingerprint(
@@ -325,7 +320,7 @@
         now = time.monotonic()
         order = self._placement.ranked(call.profile, route.home_regions)
         passed_over = set(call.tried)
-        urgency = Urgency(call.deadline - now, route.objective, route.priority, call.is_favoured)
+        urgency = Urgency(call.deadline - now, route.objective, route.priority)
         while options := self._placement.estimates(
             (t for t in order if t.target_id not in passed_over and not t.health.is_resting(now)),
             call.profile,
--- a/src/cassiashore/_internal/steering/overload.py
+++ b/src/cassiashore/_internal/steering/overload.py
@@ -19,7 +19,6 @@
 MAX_RETRY_SECONDS = 2.0  # callers wait for a third of their time left at most
 DEADLINE_RESERVE = 0.95  # of the time left: an answer must also travel back
 IN_TIME_SHARE_BY_PRIORITY = (1.0, 0.95, 0.85)  # of the objective; the last is for all further ones
-FAVOURED_SHARE = 1.3  # of the objective: turned away again, the request would be lost
 
 
 class Verdict(Enum):
@@ -40,21 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Urgency:
-    """The times of a request in seconds: what is left, and the route's objective and priority.
-
-    ``is_favoured`` tells that the caller was turned away before, as few others were.
-    """
+    """The times of a request in seconds: what is left, and the route's objective and priority."""
 
     time_left: float
     objective: float
     priority: int
-    is_favoured: bool = False
 
     @property
     def in_time_seconds(self) -> float:
         """Return within how many seconds an answer is worth a place in a queue."""
-        if self.is_favoured:
-            return self.objective * FAVOURED_SHARE
         rank = min(self.priority, len(IN_TIME_SHARE_BY_PRIORITY) - 1)
         return self.objective * IN_TIME_SHARE_BY_PRIORITY[rank]
 
