Tell objects that are made anew from those that others had made; use idle targets before refusing

To an instance every object is new at first, but its own target mostly keeps it already, since other instances send there as well. The time for objects that are not kept was therefore a blend (1.3 s where they take 2.9 s), and a target that really made two or three of them counted as slow against it.

Change: only answers for objects that this instance knows to be kept tell of a target's slowness; of others, only those sent elsewhere or long ones tell how long making takes. With true times fewer requests overflow, so one that would be late in its target's queue takes an idle target before it is refused.

Three new cases failed before.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -35,8 +35,8 @@
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
-from cassiashore._internal.steering.overload import Urgency, Verdict, decide
-from cassiashore._internal.steering.placement import Estimate, Placement, best_of
+from cassiashore._internal.steering.overload import Urgency, Verdict, best_place, decide
+from cassiashore._internal.steering.placement import Estimate, Placement
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.repeats import RepeatBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
@@ -325,7 +325,7 @@
             (t for t in order if t.target_id not in passed_over and not t.health.is_resting(now)),
             call.profile,
         ):
-            best = best_of(options)
+            best = best_place(options, urgency)
             decision = decide(best, urgency, self._rng)
             if decision.verdict is Verdict.TURN_AWAY:
                 call.retry_after = decision.retry_after
@@ -396,7 +396,7 @@
         target = chosen.target
         if failure.reason is Reason.DEADLINE:
             if failure.outcome is Outcome.UNKNOWN:
-                self._placement.unanswered(target, call.profile, seconds, chosen.waiting)
+                self._placement.unanswered(chosen, call.profile, seconds)
             return
         if failure.reason is Reason.TARGET_UNREACHABLE:
             call.sends -= 1
@@ -428,7 +428,7 @@
             return
         self._poison.acquit(call.fingerprint)
         target.health.succeeded(answer.seconds, time.monotonic())
-        self._placement.answered(target, call.profile, answer.seconds, chosen.waiting)
+        self._placement.answered(chosen, call.profile, answer.seconds)
 
     def _note_load(self, target: RegisteredTarget, answer: TargetAnswer) -> None:
         value = answer.head.get(self._edge.load)
--- a/src/cassiashore/_internal/steering/load.py
+++ b/src/cassiashore/_internal/steering/load.py
@@ -22,7 +22,6 @@
     in_flight: int = 0
     others: float = 0.0
     reported_at: float = float("-inf")
-    heard_at: float = float("-inf")
     slowness: float = 1.0
 
     def report(self, busy: int, now: float) -> None:
@@ -43,12 +42,10 @@
         """Return the estimated requests at the target."""
         return self.in_flight + self.others_at(now)
 
-    def answered(self, seconds: float, usual: float, now: float) -> None:
-        """Take in the time that an answer took, and the usual one at all targets (0: unknown).
+    def answered(self, seconds: float, usual: float) -> None:
+        """Take in the time of an answer for a kept object, and the usual one (0: unknown).
 
-        The usual time is that of objects that are as well known: an object that is made anew takes
-        several times as long as a kept one, at any target.
+        An object that is made anew takes several times as long at any target.
         """
-        self.heard_at = now
         if usual > 0.0:
             self.slowness += SLOWNESS_WEIGHT * (seconds / usual - self.slowness)
--- a/src/cassiashore/_internal/steering/overload.py
+++ b/src/cassiashore/_internal/steering/overload.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cassiashore._internal.steering.placement import Estimate
+from cassiashore._internal.steering.placement import SPREAD_UTILISATION, Estimate, best_of
 
 MIN_RETRY_SECONDS = 0.05  # a shorter pause is over before a slot is free
 RETRY_SPREAD = 0.5  # of the advised pause, so that those turned away do not return together
@@ -52,6 +52,20 @@
         return self.objective * IN_TIME_SHARE_BY_PRIORITY[rank]
 
 
+def best_place(estimates: list[Estimate], urgency: Urgency) -> Estimate:
+    """Return the estimate to go by.
+
+    Where the object is kept, unless the answer would be late there after waiting in a queue and
+    another target is idle: a late answer is worth more to the caller than a refusal. Of busier
+    targets, those whose keys it is need the slots more.
+    """
+    best = best_of(estimates)
+    if best.is_immediate or best.seconds <= urgency.in_time_seconds:
+        return best
+    idle = [estimate for estimate in estimates if estimate.utilisation < SPREAD_UTILISATION]
+    return min(idle, key=lambda estimate: estimate.seconds, default=best)
+
+
 def decide(best: Estimate, urgency: Urgency, rng: random.Random) -> Decision:
     """Decide what to do with a request whose best place is known."""
     if best.seconds > urgency.time_left * DEADLINE_RESERVE:
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -36,6 +36,8 @@
 UNKNOWN_SHARE = 1.2  # of the objective: answer time for another object before any was measured
 TIME_WEIGHT = 0.05  # of one answer: the mean of some twenty
 PREFERENCE = 1.15  # the first ranked is taken unless another is faster by more than this
+MADE_ANEW_RATIO = 2.0  # to the time for kept objects; others take three to four times as long
+LEAST_WORK_SECONDS = 0.001  # when the estimates of waiting and travel exceed what was measured
 KEPT_KEYS = 64  # keys remembered for each target
 MAX_ROUTES = 4096  # of all services, whose times are remembered
 MIN_SLOWNESS = 2.0  # ratio to the service's usual times from which a target counts as slow
@@ -67,16 +69,17 @@
     warm: float = 0.0
     unknown: float = 0.0
 
-    def learn(self, seconds: float, *, is_warm: bool) -> None:
-        """Take in the time of one answer."""
-        if is_warm:
-            self.warm = _blend(self.warm, seconds)
-        else:
-            self.unknown = _blend(self.unknown, seconds)
+    def learn_warm(self, seconds: float) -> None:
+        """Take in the time of an answer for a kept object."""
+        self.warm = _blend(self.warm, seconds)
+
+    def learn_unknown(self, seconds: float) -> None:
+        """Take in the time of an answer for an object that probably was not kept."""
+        self.unknown = _blend(self.unknown, seconds)
 
-    def usual(self, *, is_warm: bool) -> float:
-        """Return the time of answers for objects that are as well known; 0 before any."""
-        return self.warm if is_warm else self.unknown
+    def is_too_long_for_warm(self, seconds: float) -> bool:
+        """Tell whether an answer took longer than for a kept object, as far as that is known."""
+        return self.warm > 0.0 and seconds > MADE_ANEW_RATIO * self.warm
 
     def learn_at_least(self, seconds: float) -> None:
         """Take in that an object of which nothing was known took longer than this."""
@@ -97,11 +100,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """What sending to a target would bring: seconds until the answer, and of them waiting."""
+    """What sending to a target would bring: seconds until the answer, and of them waiting.
+
+    ``expects_warm`` tells that the target presumably keeps the object; ``utilisation`` is its busy
+    slots per slot.
+    """
 
     target: RegisteredTarget
     seconds: float
     waiting: float
+    expects_warm: bool = True
+    utilisation: float = 0.0
 
     @property
     def is_immediate(self) -> bool:
@@ -174,7 +183,8 @@
         """Estimate the time until an answer; ``first`` marks the key's own target."""
         now = self._monotonic()
         times = self.times(profile)
-        if first or self.is_warm(target, profile.key):
+        expects_warm = first or self.is_warm(target, profile.key)
+        if expects_warm:
             work = times.warm_or(profile.objective)
         else:
             work = times.unknown_or(profile.objective)
@@ -185,7 +195,8 @@
         typical = self._mean_by_service.get(profile.service, profile.objective * WARM_SHARE)
         waiting = over / slots * typical if over > 0 else 0.0
         travel = self._distances.round_trip(target.region)
-        return Estimate(target, travel + waiting + work, waiting)
+        seconds = travel + waiting + work
+        return Estimate(target, seconds, waiting, expects_warm, _utilisation(target, now))
 
     def estimates(
         self, ranked: Iterable[RegisteredTarget], profile: RequestProfile
@@ -213,35 +224,42 @@
         keys = self._keys_by_target.get(target.target_id)
         return keys is not None and key in keys
 
-    def answered(
-        self, target: RegisteredTarget, profile: RequestProfile, seconds: float, waited: float
-    ) -> None:
-        """Learn from an answer that took ``seconds``, of which it presumably ``waited`` some."""
-        work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
-        times, is_warm = self.times(profile), self.is_warm(target, profile.key)
-        self._mean_by_service[profile.service] = _blend(
-            self._mean_by_service.get(profile.service, 0.0), work
-        )
-        target.load.answered(work, times.usual(is_warm=is_warm), self._monotonic())
-        times.learn(work, is_warm=is_warm)
-        self._note_key(target, profile.key)
+    def answered(self, sent: Estimate, profile: RequestProfile, seconds: float) -> None:
+        """Learn from an answer that took ``seconds`` to a request sent by an estimate.
 
-    def unanswered(
-        self, target: RegisteredTarget, profile: RequestProfile, seconds: float, waited: float
-    ) -> None:
+        A key's own target usually keeps an object of which this instance knows nothing, since the
+        other instances send there as well. So such an answer says nothing of kept objects, and of
+        others only if it took long.
+        """
+        work = self._work_of(sent, seconds)
+        times = self.times(profile)
+        mean = self._mean_by_service.get(profile.service, 0.0)
+        self._mean_by_service[profile.service] = _blend(mean, work)
+        if self.is_warm(sent.target, profile.key):
+            sent.target.load.answered(work, times.warm)
+            times.learn_warm(work)
+        elif not sent.expects_warm or times.is_too_long_for_warm(work):
+            times.learn_unknown(work)
+        self._note_key(sent.target, profile.key)
+
+    def unanswered(self, sent: Estimate, profile: RequestProfile, seconds: float) -> None:
         """Learn from a request that had no answer after ``seconds``, which took longer than that.
 
         Without these, the time for an object that is not kept would be that of the few such
         requests that were fast enough, and every busy target's keys would go elsewhere. The target
         keeps the object of a run that it did not finish.
         """
-        work = max(0.001, seconds - waited - self._distances.round_trip(target.region))
+        work = self._work_of(sent, seconds)
         times = self.times(profile)
-        if self.is_warm(target, profile.key):
-            target.load.answered(work, times.warm, self._monotonic())
+        if self.is_warm(sent.target, profile.key):
+            sent.target.load.answered(work, times.warm)
         else:
             times.learn_at_least(work)
-        self._note_key(target, profile.key)
+        self._note_key(sent.target, profile.key)
+
+    def _work_of(self, sent: Estimate, seconds: float) -> float:
+        travel = self._distances.round_trip(sent.target.region)
+        return max(LEAST_WORK_SECONDS, seconds - sent.waiting - travel)
 
     def _note_key(self, target: RegisteredTarget, key: str) -> None:
         keys = self._keys_by_target.setdefault(target.target_id, OrderedDict())
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -11,8 +11,13 @@
 
 from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.distance import RegionDistances
-from cassiashore._internal.steering.overload import Urgency, Verdict, decide
-from cassiashore._internal.steering.placement import Placement, RequestProfile, best_of
+from cassiashore._internal.steering.overload import Urgency, Verdict, best_place, decide
+from cassiashore._internal.steering.placement import (
+    Estimate,
+    Placement,
+    RequestProfile,
+    best_of,
+)
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from tests.lib.steering_builders import Clock, registry, report
 
@@ -27,6 +32,11 @@
     return RequestProfile("stock", route, key, objective)
 
 
+def elsewhere(target: RegisteredTarget) -> Estimate:
+    """Return the estimate of a target that is not the key's own."""
+    return Estimate(target, 0.0, 0.0, expects_warm=False)
+
+
 def place(targets: TargetRegistry, clock: Clock, balance: RegionBalance | None = None) -> Placement:
     distances = RegionDistances("erie")
     distances.measured("erie", 0.002)
@@ -70,10 +80,10 @@
     placement = place(targets, clock)
     first, second, third = placement.ranked(wanted("k"), NOWHERE)
     for _ in range(60):
-        placement.answered(first, wanted("k"), 0.11, 0.0)
+        placement.answered(Estimate(first, 0.11, 0.0), wanted("k"), 0.11)
     for number in range(60):
-        placement.unanswered(second, wanted(f"other-{number}"), 0.36, 0.0)
-        placement.answered(third, wanted(f"fast-{number}"), 0.12, 0.0)
+        placement.unanswered(elsewhere(second), wanted(f"other-{number}"), 0.36)
+        placement.answered(elsewhere(third), wanted(f"fast-{number}"), 0.12)
     first.load.report(8, clock.now)
     estimates = placement.estimates([first, second, third], wanted("new"))
     assert best_of(estimates).target is first
@@ -91,18 +101,46 @@
     first, *others = placement.ranked(wanted("k"), NOWHERE)
     for number in range(60):
         check = wanted(f"check-{number}", route="checks")
-        placement.answered(others[number % 2], check, 0.009, 0.0)
+        placement.answered(elsewhere(others[number % 2]), check, 0.009)
     first.load.report(8, clock.now)
     estimates = placement.estimates([first, *others], wanted("k"))
     assert best_of(estimates).target is first
 
 
+def test_objects_that_other_instances_had_made_do_not_hide_how_long_it_takes() -> None:
+    """To this instance all objects are new, but their own targets keep most of them already."""
+    clock = Clock()
+    targets = with_targets(clock, near=6, far=0)
+    placement = place(targets, clock)
+    for number in range(200):
+        profile = wanted(f"k-{number}")
+        own = placement.ranked(profile, NOWHERE)[0]
+        sent = placement.estimate(own, profile, first=True)
+        placement.answered(sent, profile, 0.36 if number % 4 == 0 else 0.11)
+        placement.answered(sent, profile, 0.11)
+    profile = wanted("k")
+    first, *others = placement.ranked(profile, NOWHERE)
+    assert placement.times(profile).unknown_or(OBJECTIVE) > 0.3
+    first.load.report(8, clock.now)
+    assert best_of(placement.estimates([first, *others], profile)).target is first
+
+
+def test_a_target_that_answers_slowly_for_kept_objects_is_left_for_another() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=3, far=0)
+    placement = place(targets, clock)
+    first, *others = placement.ranked(wanted("k"), NOWHERE)
+    for target, seconds in [(others[0], 0.1), (others[1], 0.1), (first, 0.9)] * 20:
+        placement.answered(Estimate(target, 0.1, 0.0), wanted("k"), seconds)
+    assert best_of(placement.estimates([first, *others], wanted("k"))).target is not first
+
+
 def test_a_target_keeps_the_object_of_a_request_that_it_did_not_answer_in_time() -> None:
     clock = Clock()
     targets = with_targets(clock, near=2, far=0)
     placement = place(targets, clock)
     target = placement.ranked(wanted("k"), NOWHERE)[1]
-    placement.unanswered(target, wanted("k"), 0.36, 0.0)
+    placement.unanswered(elsewhere(target), wanted("k"), 0.36)
     assert placement.is_warm(target, "k")
 
 
@@ -203,7 +241,7 @@
         self.servers = {name: SimulatedTarget(6) for name in targets.target_by_id}
         self.rng = random.Random(seed)
         self.returns = returns
-        self.ends: list[tuple[float, int, RegisteredTarget, str, float, float]] = []
+        self.ends: list[tuple[float, int, Estimate, str, float]] = []
         self.returning: list[tuple[float, float, str]] = []
         self.count = 0
 
@@ -222,13 +260,14 @@
         """Handle a request; ``first_at`` is when its caller was turned away before."""
         clock, placement = self.clock, self.placement
         while self.ends and self.ends[0][0] <= clock.now:
-            at, _, target, done, begun, waited = heapq.heappop(self.ends)
-            target.load.in_flight -= 1
-            placement.answered(target, wanted(done), at - begun, waited)
+            at, _, sent, done, begun = heapq.heappop(self.ends)
+            sent.target.load.in_flight -= 1
+            placement.answered(sent, wanted(done), at - begun)
         ranked = list(placement.ranked(wanted(key), NOWHERE))
-        best = best_of(placement.estimates(ranked, wanted(key)))
         left = DEADLINE - (clock.now - first_at if first_at is not None else 0.0)
-        decision = decide(best, Urgency(left, OBJECTIVE, 2), self.rng)
+        urgency = Urgency(left, OBJECTIVE, 2)
+        best = best_place(placement.estimates(ranked, wanted(key)), urgency)
+        decision = decide(best, urgency, self.rng)
         if decision.verdict is Verdict.TURN_AWAY:
             self.result.turned_away += 1
             if first_at is not None:
@@ -240,7 +279,7 @@
         end = self.servers[best.target.target_id].serve(key, clock.now)
         best.target.load.in_flight += 1
         self.count += 1
-        heapq.heappush(self.ends, (end, self.count, best.target, key, clock.now, best.waiting))
+        heapq.heappush(self.ends, (end, self.count, best, key, clock.now))
         self.judge(end - (clock.now if first_at is None else first_at))
 
     def judge(self, took: float) -> None:
@@ -293,6 +332,24 @@
     assert burst.turned_away <= 0.75 * 2700
 
 
+def test_a_free_slot_elsewhere_comes_before_a_refusal() -> None:
+    clock = Clock()
+    targets = with_targets(clock, near=2, far=0)
+    placement = place(targets, clock)
+    first, second = placement.ranked(wanted("k"), NOWHERE)
+    urgency = Urgency(2.0, OBJECTIVE, 2)
+    for _ in range(20):
+        placement.answered(Estimate(first, 0.1, 0.0), wanted("k"), 0.11)
+        placement.answered(elsewhere(second), wanted("k2"), 0.4)
+    first.load.report(16, clock.now)
+    best = best_place(placement.estimates([first, second], wanted("k")), urgency)
+    assert best.target is second
+    second.load.report(16, clock.now)
+    best = best_place(placement.estimates([first, second], wanted("k")), urgency)
+    assert best.target is first
+    assert decide(best, urgency, random.Random(1)).verdict is Verdict.TURN_AWAY
+
+
 def test_a_request_without_time_left_is_turned_away_unless_a_slot_is_free() -> None:
     clock = Clock()
     targets = with_targets(clock, near=1, far=0, slots=1)
