Let each report on the store count once, and tell a silent source from a store that turns away

Its sources were alive but had no news themselves, which counted as a store that turns everybody away, and it waited for a turn that comes after up to 190 s. With distributors it was worse: two instances whose lists name each other pass beats on at once, and the age in a beat does not grow on its way. Both stayed current for each other, and in the log version 7 of 17.8 s came into force at 28 to 33 s.

Change: a beat names the call to the store that it goes back to (observer and time), and counts only if that is newer than what is known of the observer. A reader that is turned away says so with such a report too; sources that are merely old count as silent. Those first in their failure domain turn to a silent store first, since the others hear from them. Ruled out: adding the transit to the age (not known), no immediate passing on (0.4 s a hop, a third of the silence).

--- a/src/cassiashore/_internal/mirror/feed_health.py
+++ b/src/cassiashore/_internal/mirror/feed_health.py
@@ -49,7 +49,7 @@
         self._failing_at.pop(source, None)
 
     def failing(self, source: object) -> None:
-        """Take in that a source runs but does not know the store's state."""
+        """Take in that a source runs, and that the store turns away those who read it."""
         self._failing_at[source] = self._monotonic()
         self._current_at.pop(source, None)
         self._direct_at.pop(source, None)
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -181,7 +181,10 @@
         return (ranks[0] if ranks else len(others)), len(others)
 
     def others_in_order(self, least: int) -> list[InstanceRecord]:
-        """Return the instances that are no readers, in the order in which they would be."""
+        """Return the instances that are no readers, in the order in which they would be.
+
+        The first of each failure domain come before all others, who have their news from them.
+        """
         return self._reading_order(least)[1]
 
     def _reading_order(self, least: int) -> tuple[list[InstanceRecord], list[InstanceRecord]]:
@@ -200,6 +203,9 @@
                 break
             if record not in readers:
                 readers.append(record)
-        others = [record for record in records if record not in readers]
+        rest = [record for record in records if record not in readers]
+        first_by_domain = {r.identity.failure_domain: r for r in reversed(rest)}
+        firsts = {r.identity.incarnation for r in first_by_domain.values()}
+        others = sorted(rest, key=lambda r: r.identity.incarnation not in firsts)
         self._order_by_least[least] = (readers, others)
         return readers, others
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from cassiashore._internal.exceptions import ProtocolViolationError
-from cassiashore._internal.mirror.feed_health import FeedHealth
+from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
 from cassiashore._internal.mirror.feed_tree import FeedTree
 from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
 from cassiashore._internal.mirror.instances import InstanceTable
@@ -18,6 +18,7 @@
 from cassiashore._internal.mirror.recent_changes import RecentChanges
 from cassiashore._internal.mirror.renewals import PeerRenewals
 from cassiashore._internal.mirror.sender_choice import SenderChoice
+from cassiashore._internal.mirror.sightings import Sightings
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers import link as links
 from cassiashore._internal.peers.link import PeerLink
@@ -31,6 +32,7 @@
     Message,
     RenewalDone,
     RenewalWanted,
+    Sighting,
     pack,
     unpack,
 )
@@ -42,7 +44,7 @@
 # What a watch confirms is as old as its start, and the next one takes as long to confirm more: two
 # quiet watches and a beat. Older knowledge may miss changes.
 FRESH_SECONDS = 2 * WATCH_SECONDS + 0.4
-STALE_MS = 60_000  # told while the store cannot be followed
+STALE_MS = 60_000  # the most that is told
 REDIAL_SECONDS = 0.5  # an instance that starts again listens after half a second
 BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
 BOOT_POLL_SECONDS = 0.05  # a copy comes within some tens of milliseconds
@@ -86,6 +88,10 @@
         self.renewals = PeerRenewals()
         self._helper: PeerLink | None = None
         self._peers_current_at = float("-inf")
+        self._confirmed_by: Sighting | None = None
+        self._away_seen: Sighting | None = None
+        self._heard = Sightings(own.incarnation)
+        self._heard_away = Sightings(own.incarnation)
         self._link_by_source: dict[Address, PeerLink] = {}
         self._own = own
         self._key = key
@@ -178,7 +184,7 @@
             self._helper = link
             link.send(FeedWanted(self._mirror.revision, is_standby=False))
         elif self._helper is link and beat.revision <= self._mirror.revision:
-            self._confirm(age)
+            self._confirm(beat)
 
     def _take_content(self, link: PeerLink, message: Message) -> None:
         if isinstance(message, FeedSnapshot):
@@ -188,10 +194,15 @@
         ):
             link.send(FeedWanted(self._mirror.revision, is_standby=False))
 
-    def _confirm(self, age: float) -> None:
-        now = time.monotonic()
+    def _confirm(self, beat: FeedBeat) -> bool:
+        """Take in that the mirror is current, unless that is known; tell whether it was news."""
+        if not self._heard.is_news(beat.seen):
+            return False
+        now, age = time.monotonic(), beat.age_ms / 1000
         self._peers_current_at = max(self._peers_current_at, now - age)
         self._mirror.confirmed(now, age)
+        self._confirmed_by = beat.seen
+        return True
 
     async def renew_elsewhere(self, lease_id: int, *, may_pass_on: bool = True) -> bool:
         """Have a lease renewed by one of the sources or, if they may ask, by one of theirs."""
@@ -260,16 +271,29 @@
         self._beat_to({*self._subscribers, *self._standbys, *helped})
 
     def _beat_to(self, subscribers: Iterable[PeerLink]) -> None:
+        beat = self._next_beat()
+        if beat is not None:
+            for link in subscribers:
+                link.send(beat)
+
+    def _next_beat(self) -> FeedBeat | None:
+        """Return what to tell of the store, and who saw it."""
         now = time.monotonic()
-        age = now - self._mirror.current_at
-        if not self._mirror.is_filled or age == float("inf"):
-            return
-        is_stale = self.is_failing() and now - self._peers_current_at >= FRESH_SECONDS
-        age_ms = STALE_MS if is_stale else min(STALE_MS, int(age * 1000))
-        is_direct = self.is_answered()
-        beat = FeedBeat(self._mirror.revision, age_ms, is_direct)
-        for link in subscribers:
-            link.send(beat)
+        current_at = self._mirror.current_at
+        if not self._mirror.is_filled or current_at == float("-inf"):
+            return None
+        revision = self._mirror.revision
+        own = self._own.incarnation
+        if self.is_failing() and now - self._peers_current_at >= FRESH_SECONDS:
+            return FeedBeat(revision, STALE_MS, Sighting(own, int(now * 1000)), is_away=True)
+        others_fail = self.feed.state()[0] is FeedState.FAILING and not self.is_answered()
+        if others_fail and self._away_seen is not None:
+            return FeedBeat(revision, STALE_MS, self._away_seen, is_away=True)
+        seen = self._confirmed_by
+        if seen is None or current_at > self._peers_current_at:
+            seen = Sighting(own, int(current_at * 1000))
+        age_ms = min(STALE_MS, int((now - current_at) * 1000))
+        return FeedBeat(revision, age_ms, seen, is_direct=self.is_answered())
 
     # Following others.
 
@@ -349,16 +373,22 @@
                 self._take_content(link, message)
 
     def _take_beat(self, link: PeerLink, beat: FeedBeat) -> None:
-        age = beat.age_ms / 1000
         source = link.peer.peer_address
         self._note_standby(link, beat, time.monotonic())
-        if age >= FRESH_SECONDS:
-            self.feed.failing(source)
-        elif beat.revision <= self._mirror.revision:
+        if beat.is_away:
+            if self._heard_away.is_news(beat.seen):
+                self._away_seen = beat.seen
+                self.feed.failing(source)
+                self._pass_on_beat(link)
+        elif beat.age_ms / 1000 < FRESH_SECONDS and beat.revision <= self._mirror.revision:
             self.feed.current(source, is_direct=beat.is_direct)
-            self._confirm(age)
-            if link is self._sender:
-                self._beat()  # at once: knowledge that waits at each hop would count as old
+            if self._confirm(beat):
+                self._pass_on_beat(link)
+
+    def _pass_on_beat(self, link: PeerLink) -> None:
+        """Tell subscribers at once: knowledge that waits at each hop would count as old."""
+        if link is self._sender:
+            self._beat()
 
     def _take_changes_from(self, link: PeerLink) -> None:
         """Let one source send the changes, and the one that did before only beats."""
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -11,7 +11,11 @@
 import pytest
 from result import Err
 
-from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
+from cassiashore._internal.mirror.feed_health import (
+    RELAY_SILENCE_SECONDS,
+    FeedHealth,
+    FeedState,
+)
 from cassiashore._internal.mirror.follower import (
     MAX_RETRY_SECONDS,
     SPARE_RETRY_SECONDS,
@@ -19,7 +23,7 @@
 )
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
-from cassiashore._internal.mirror.relay import BEAT_SECONDS, FeedRelay
+from cassiashore._internal.mirror.relay import BEAT_SECONDS, FRESH_SECONDS, FeedRelay
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.link import PeerLink
 from cassiashore._internal.peers.messages import FeedBeat, Identity, RenewalWanted
@@ -313,6 +317,26 @@
     run(test)
 
 
+def test_instances_that_follow_each_other_do_not_take_their_echo_for_news() -> None:
+    """After a loss of most instances their lists differ; changes would pass them by for good."""
+
+    async def test() -> None:
+        one, other = await Peer("a", []).start(), await Peer("b", []).start()
+        for follower, source in ((one, other), (other, one)):
+            record = source.record
+            follower.instances.changed(record.identity.incarnation, encode_record(record))
+            follower.mirror.replace(Snapshot(5, []))
+            current(follower)
+        await until(lambda: one.relay.feed.state()[0] is FeedState.CURRENT)
+        await asyncio.sleep(FRESH_SECONDS + RELAY_SILENCE_SECONDS + 2 * BEAT_SECONDS)
+        for peer in (one, other):
+            assert time.monotonic() - peer.mirror.current_at > FRESH_SECONDS
+            assert peer.relay.feed.state()[0] is FeedState.SILENT
+            peer.stop()
+
+    run(test)
+
+
 def test_an_instance_that_lacks_a_few_changes_gets_no_whole_copy() -> None:
     """Sources change whenever an instance starts or ends; copies would be most of the bytes."""
 
--- a/tests/unit/test_specifications.py
+++ b/tests/unit/test_specifications.py
@@ -23,6 +23,7 @@
     mirror,
     registrations,
     rights,
+    sightings,
     tickets,
 )
 from tests.lib import builders, steering_builders
@@ -36,6 +37,7 @@
     (registrations, registrations.RegistryVariant),
     (cold_senders, cold_senders.ColdVariant),
     (instance_keys, instance_keys.KeyVariant),
+    (sightings, sightings.HearsayVariant),
 ]
 RIGHTS_REFUTED_BY = {
     "agree_while_holding": "two instances, crashes and pauses",
