Do not follow the run that this instance replaced; end streams whose bytes nobody acknowledges

Change: a registration at the own address under another incarnation is no source. Streams between instances have TCP_USER_TIMEOUT of 5 s.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -187,12 +187,18 @@
         """
         return self._reading_order(least)[1]
 
+    def _is_earlier_run(self, record: InstanceRecord) -> bool:
+        """Tell whether a registration is of a run that this one replaced at its address."""
+        own = self.own.identity
+        other = record.identity
+        return other.peer_address == own.peer_address and other.incarnation != own.incarnation
+
     def _reading_order(self, least: int) -> tuple[list[InstanceRecord], list[InstanceRecord]]:
         """Return the readers, and the others in the order in which they would take their place."""
         known = self._order_by_least.get(least)
         if known is not None:
             return known
-        present = [r for i, r in self.record_by_incarnation.items() if i not in self._leaving]
+        present = [r for r in self._present().values() if not self._is_earlier_run(r)]
         records = sorted(present, key=lambda r: hash64(r.identity.incarnation))
         by_region: dict[str, InstanceRecord] = {}
         for record in records:
--- a/src/cassiashore/_internal/peers/link.py
+++ b/src/cassiashore/_internal/peers/link.py
@@ -10,6 +10,7 @@
 import hashlib
 import hmac
 import secrets
+import socket
 import struct
 
 import msgspec
@@ -23,6 +24,9 @@
 MAX_HANDSHAKE_FRAME_BYTES = 2048  # an identity of some hundred bytes, from anyone who connects
 HANDSHAKE_SECONDS = 2.0  # several times the longest round trip
 SEND_BUFFER_BYTES = 32 << 20  # two whole frames
+# After which what is not acknowledged ends a link: more than the silence that followers accept. The
+# kernel would keep what is sent to a machine without power for minutes.
+UNACKNOWLEDGED_MS = 5000
 NONCE_BYTES = 16  # 128 bits cannot be guessed
 _LENGTH = struct.Struct(">I")
 
@@ -97,6 +101,8 @@
     dialled: bool,
 ) -> PeerLink:
     nonce = secrets.token_bytes(NONCE_BYTES)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     try:
         async with asyncio.timeout(HANDSHAKE_SECONDS):
             _write_frame(writer, Hello(messages.PROTOCOL_VERSION, own, nonce))
--- a/tests/unit/test_feed_tree.py
+++ b/tests/unit/test_feed_tree.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+import msgspec
 import pytest
 
 from cassiashore._internal.mirror.feed_tree import FeedTree
@@ -20,8 +21,9 @@
         for domain in range(domains):
             for member in range(members):
                 name = f"{region}-{domain}-{member}"
+                peer_address = f"127.0.0.1:{100 + len(records)}"
                 identity = Identity(
-                    name, f"run-{name}", f"d-{region}-{domain}", "127.0.0.1:1", "127.0.0.1:2"
+                    name, f"run-{name}", f"d-{region}-{domain}", "127.0.0.1:1", peer_address
                 )
                 records.append(InstanceRecord(identity, f"r-{region}", 1.0))
     return records
@@ -90,3 +92,21 @@
     assert {record.identity.incarnation for record in found} == {
         reader.identity.incarnation for reader in readers
     }
+
+
+def test_an_instance_does_not_follow_the_run_that_it_replaced() -> None:
+    """Its registration stands until the lease ends; the address is the own one."""
+    records = deployment(1, 1, 3)
+    for record in records:
+        identity = msgspec.structs.replace(
+            record.identity, incarnation="run-new", peer_address="127.0.0.1:9"
+        )
+        own = msgspec.structs.replace(record, identity=identity)
+        earlier = msgspec.structs.replace(
+            record, identity=msgspec.structs.replace(identity, incarnation="run-old")
+        )
+        table = InstanceTable(own)
+        for known in (earlier, *records):
+            table.changed(known.identity.incarnation, encode_record(known))
+        named = [*table.store_readers(LEAST_READERS), *table.others_in_order(LEAST_READERS)]
+        assert earlier not in named and len(named) == len(records)
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -23,7 +24,12 @@
 )
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
-from cassiashore._internal.mirror.relay import BEAT_SECONDS, FRESH_SECONDS, FeedRelay
+from cassiashore._internal.mirror.relay import (
+    BEAT_SECONDS,
+    FRESH_SECONDS,
+    LINK_SILENCE_SECONDS,
+    FeedRelay,
+)
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.link import PeerLink
 from cassiashore._internal.peers.messages import FeedBeat, Identity, RenewalWanted
@@ -147,7 +153,9 @@
 
 def test_every_instance_names_the_same_readers_one_in_each_region() -> None:
     records = [
-        InstanceRecord(Identity(f"i-{n}", f"run-{n}", "d", "127.0.0.1:1", "127.0.0.1:2"), region, 1)
+        InstanceRecord(
+            Identity(f"i-{n}", f"run-{n}", "d", "127.0.0.1:1", f"127.0.0.1:{n + 2}"), region, 1
+        )
         for n, region in enumerate(["erie", "erie", "huron", "huron", "superior"])
     ]
     chosen = []
@@ -415,6 +423,22 @@
     run(test)
 
 
+def test_what_a_machine_without_power_does_not_take_ends_its_stream() -> None:
+    async def test() -> None:
+        reader = await Peer("a", []).start()
+        follower = await Peer("b", [reader.address]).start()
+        reader.mirror.replace(Snapshot(5, []))
+        await until(lambda: reader.relay._subscribers and follower.relay._link_by_source)
+        for link in [*reader.relay._subscribers, *follower.relay._link_by_source.values()]:
+            sock = link._writer.get_extra_info("socket")
+            limit = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert LINK_SILENCE_SECONDS * 1000 < limit <= 10_000
+        reader.stop()
+        follower.stop()
+
+    run(test)
+
+
 def test_ending_a_relay_is_no_error(caplog: pytest.LogCaptureFixture) -> None:
     async def test() -> None:
         reader = await Peer("a", []).start()
