Split the relay: what is known of the store, who subscribes, and the streams

No change of behaviour: feed_knowledge.py takes in beats and makes them, feed_subscribers.py brings subscribers up to date, relay.py keeps the streams.

--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -10,15 +10,14 @@
 import msgspec
 
 from cassiashore._internal.exceptions import ProtocolViolationError
-from cassiashore._internal.mirror.feed_health import FeedHealth, FeedState
+from cassiashore._internal.mirror.feed_knowledge import FeedKnowledge, is_fresh
+from cassiashore._internal.mirror.feed_subscribers import FeedSubscribers
 from cassiashore._internal.mirror.feed_tree import FeedTree
-from cassiashore._internal.mirror.follower import LEAST_READERS, WATCH_SECONDS
+from cassiashore._internal.mirror.follower import LEAST_READERS
 from cassiashore._internal.mirror.instances import InstanceTable
 from cassiashore._internal.mirror.mirror import StoreMirror
-from cassiashore._internal.mirror.recent_changes import RecentChanges
 from cassiashore._internal.mirror.renewals import PeerRenewals
 from cassiashore._internal.mirror.sender_choice import SenderChoice
-from cassiashore._internal.mirror.sightings import Sightings
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers import link as links
 from cassiashore._internal.peers.link import PeerLink
@@ -32,8 +31,6 @@
     Message,
     RenewalDone,
     RenewalWanted,
-    Sighting,
-    pack,
     unpack,
 )
 from cassiashore._internal.store.events import ChangeBatch, Snapshot
@@ -41,10 +38,6 @@
 logger = logging.getLogger(__name__)
 
 BEAT_SECONDS = 0.4  # a third of the silence after which a follower reads the store itself
-# What a watch confirms is as old as its start, and the next one takes as long to confirm more: two
-# quiet watches and a beat. Older knowledge may miss changes.
-FRESH_SECONDS = 2 * WATCH_SECONDS + 0.4
-STALE_MS = 60_000  # the most that is told
 REDIAL_SECONDS = 0.5  # an instance that starts again listens after half a second
 BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
 BOOT_POLL_SECONDS = 0.05  # a copy comes within some tens of milliseconds
@@ -81,17 +74,11 @@
         region_distance: Callable[[str], float],
     ) -> None:
         """Create a relay without streams; ``seeds`` are tried until instances are known."""
-        self.is_failing: Callable[[], bool] = lambda: False
-        self.is_answered: Callable[[], bool] = lambda: False
         self.is_helping: Callable[[], bool] = lambda: False
-        self.feed = FeedHealth(time.monotonic)
+        self.knowledge = FeedKnowledge(own.incarnation, mirror)
+        self.subscribers = FeedSubscribers(mirror)
         self.renewals = PeerRenewals()
         self._helper: PeerLink | None = None
-        self._peers_current_at = float("-inf")
-        self._confirmed_by: Sighting | None = None
-        self._away_seen: Sighting | None = None
-        self._heard = Sightings(own.incarnation)
-        self._heard_away = Sightings(own.incarnation)
         self._link_by_source: dict[Address, PeerLink] = {}
         self._own = own
         self._key = key
@@ -99,23 +86,13 @@
         self._instances = instances
         self._seeds = seeds
         self._region_distance = region_distance
-        self._subscribers: set[PeerLink] = set()
-        self._standbys: set[PeerLink] = set()
         self._sender: PeerLink | None = None
         self._preferred: list[str] = []
         self._sender_choice = SenderChoice()
-        self._recent = RecentChanges()
-        self._packed: tuple[int, bytes] = (0, b"")
         self._beaten_at = float("-inf")
         self._source_by_address: dict[Address, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
         self._accepted: set[asyncio.StreamWriter] = set()
-        mirror.on_batch = self._publish
-
-    @property
-    def heard_at(self) -> float:
-        """Return when a source last told that the mirror is current, if that is not long ago."""
-        return self.feed.heard_at
 
     async def listen(self, address: Address) -> None:
         """Accept subscribers; raise ``OSError`` when the address is taken."""
@@ -155,8 +132,7 @@
         except _LINK_ERRORS as error:
             logger.debug("the stream of subscriber %s ended: %s", link.peer.instance, error)
         finally:
-            self._subscribers.discard(link)
-            self._standbys.discard(link)
+            self.subscribers.drop([link])
             self._accepted.discard(writer)
             if self._helper is link:
                 self._helper = None
@@ -176,15 +152,14 @@
 
     def _take_help(self, link: PeerLink, beat: FeedBeat) -> None:
         """Follow a subscriber that reads the store while this instance cannot."""
-        age = beat.age_ms / 1000
-        if not self.is_failing() or age >= FRESH_SECONDS:
+        if not self.knowledge.is_failing() or not is_fresh(beat):
             return
         if self._helper is None:
             logger.info("%s reads the store for this instance", link.peer.instance)
             self._helper = link
             link.send(FeedWanted(self._mirror.revision, is_standby=False))
         elif self._helper is link and beat.revision <= self._mirror.revision:
-            self._confirm(beat)
+            self.knowledge.confirm(beat)
 
     def _take_content(self, link: PeerLink, message: Message) -> None:
         if isinstance(message, FeedSnapshot):
@@ -194,16 +169,6 @@
         ):
             link.send(FeedWanted(self._mirror.revision, is_standby=False))
 
-    def _confirm(self, beat: FeedBeat) -> bool:
-        """Take in that the mirror is current, unless that is known; tell whether it was news."""
-        if not self._heard.is_news(beat.seen):
-            return False
-        now, age = time.monotonic(), beat.age_ms / 1000
-        self._peers_current_at = max(self._peers_current_at, now - age)
-        self._mirror.confirmed(now, age)
-        self._confirmed_by = beat.seen
-        return True
-
     async def renew_elsewhere(self, lease_id: int, *, may_pass_on: bool = True) -> bool:
         """Have a lease renewed by one of the sources or, if they may ask, by one of theirs."""
         wanted = RenewalWanted(lease_id, may_pass_on)
@@ -211,55 +176,26 @@
 
     def tell_leaving(self) -> None:
         """Tell the others that this instance leaves."""
-        for link in {*self._subscribers, *self._standbys, *self._link_by_source.values()}:
+        for link in {*self.subscribers.all(), *self._link_by_source.values()}:
             link.send(FeedLeaving(self._own.incarnation))
 
     def _pass_on_leaving(self, incarnation: str, also: Iterable[PeerLink] = ()) -> None:
         """Tell subscribers that an instance leaves, unless that is known."""
         if self._instances.leaves(incarnation):
-            for link in {*self._subscribers, *self._standbys, *also}:
+            for link in {*self.subscribers.all(), *also}:
                 link.send(FeedLeaving(incarnation))
 
     def _end_helping(self) -> None:
         """Send sources no more of what they read themselves again, and forget a helper."""
         if not self.is_helping():
-            self._subscribers.difference_update(self._link_by_source.values())
-            self._standbys.difference_update(self._link_by_source.values())
-        if self._helper is not None and not self.is_failing():
+            self.subscribers.drop(self._link_by_source.values())
+        if self._helper is not None and not self.knowledge.is_failing():
             self._helper = None
 
     def _subscribe(self, link: PeerLink, wanted: FeedWanted) -> None:
-        if wanted.is_standby:
-            self._subscribers.discard(link)
-            self._standbys.add(link)
-        else:
-            self._bring_up_to_date(link, wanted.revision)
-            self._standbys.discard(link)
-            self._subscribers.add(link)
+        self.subscribers.subscribe(link, wanted)
         self._beat_to([link])
 
-    def _bring_up_to_date(self, link: PeerLink, revision: int) -> None:
-        if not self._mirror.is_filled or revision >= self._mirror.revision:
-            return
-        missing = self._recent.after(revision)
-        if missing is not None:
-            link.send(FeedChanges(pack(missing)))
-        else:
-            link.send(FeedSnapshot(self._packed_snapshot()))
-
-    def _packed_snapshot(self) -> bytes:
-        """Return the copy as it goes out; after a restart of all instances many ask for it."""
-        if self._packed[0] != self._mirror.revision:
-            self._packed = (self._mirror.revision, pack(self._mirror.snapshot()))
-        return self._packed[1]
-
-    def _publish(self, batch: ChangeBatch) -> None:
-        self._recent.add(batch)
-        if self._subscribers:
-            message = FeedChanges(pack(batch))
-            for link in self._subscribers:
-                link.send(message)
-
     def _beat_if_due(self) -> None:
         """Send beats unless the sender's were just passed on."""
         if time.monotonic() - self._beaten_at >= BEAT_SECONDS:
@@ -268,33 +204,14 @@
     def _beat(self) -> None:
         self._beaten_at = time.monotonic()
         helped = self._link_by_source.values() if self.is_helping() else ()
-        self._beat_to({*self._subscribers, *self._standbys, *helped})
+        self._beat_to({*self.subscribers.all(), *helped})
 
     def _beat_to(self, subscribers: Iterable[PeerLink]) -> None:
-        beat = self._next_beat()
+        beat = self.knowledge.next_beat()
         if beat is not None:
             for link in subscribers:
                 link.send(beat)
 
-    def _next_beat(self) -> FeedBeat | None:
-        """Return what to tell of the store, and who saw it."""
-        now = time.monotonic()
-        current_at = self._mirror.current_at
-        if not self._mirror.is_filled or current_at == float("-inf"):
-            return None
-        revision = self._mirror.revision
-        own = self._own.incarnation
-        if self.is_failing() and now - self._peers_current_at >= FRESH_SECONDS:
-            return FeedBeat(revision, STALE_MS, Sighting(own, int(now * 1000)), is_away=True)
-        others_fail = self.feed.state()[0] is FeedState.FAILING and not self.is_answered()
-        if others_fail and self._away_seen is not None:
-            return FeedBeat(revision, STALE_MS, self._away_seen, is_away=True)
-        seen = self._confirmed_by
-        if seen is None or current_at > self._peers_current_at:
-            seen = Sighting(own, int(current_at * 1000))
-        age_ms = min(STALE_MS, int((now - current_at) * 1000))
-        return FeedBeat(revision, age_ms, seen, is_direct=self.is_answered())
-
     # Following others.
 
     def _follow_sources(self) -> None:
@@ -314,7 +231,7 @@
         own = self._instances.own
         readers = self._instances.store_readers(LEAST_READERS)
         is_reader = any(r.identity.incarnation == own.identity.incarnation for r in readers)
-        if is_reader and not self.is_failing():
+        if is_reader and not self.knowledge.is_failing():
             return []
         tree = FeedTree.of(readers, self._instances.others_in_order(LEAST_READERS))
         if is_reader or self.is_helping():
@@ -348,8 +265,7 @@
             await self._receive(link)
         finally:
             self._link_by_source.pop(address, None)
-            self._subscribers.discard(link)
-            self._standbys.discard(link)
+            self.subscribers.drop([link])
             link.abort()
             self._sender_ended(link)
 
@@ -373,22 +289,10 @@
                 self._take_content(link, message)
 
     def _take_beat(self, link: PeerLink, beat: FeedBeat) -> None:
-        source = link.peer.peer_address
         self._note_standby(link, beat, time.monotonic())
-        if beat.is_away:
-            if self._heard_away.is_news(beat.seen):
-                self._away_seen = beat.seen
-                self.feed.failing(source)
-                self._pass_on_beat(link)
-        elif beat.age_ms / 1000 < FRESH_SECONDS and beat.revision <= self._mirror.revision:
-            self.feed.current(source, is_direct=beat.is_direct)
-            if self._confirm(beat):
-                self._pass_on_beat(link)
-
-    def _pass_on_beat(self, link: PeerLink) -> None:
-        """Tell subscribers at once: knowledge that waits at each hop would count as old."""
-        if link is self._sender:
-            self._beat()
+        is_news = self.knowledge.take(link.peer.peer_address, beat)
+        if is_news and link is self._sender:
+            self._beat()  # at once: knowledge that waits at each hop would count as old
 
     def _take_changes_from(self, link: PeerLink) -> None:
         """Let one source send the changes, and the one that did before only beats."""
@@ -419,8 +323,7 @@
         if link is self._sender:
             return
         ahead = beat.revision - self._mirror.revision
-        is_current = beat.age_ms / 1000 < FRESH_SECONDS
-        is_preferred = is_current and self._is_preferred(link)
+        is_preferred = is_fresh(beat) and self._is_preferred(link)
         if self._sender_choice.takes_over(ahead, now, is_preferred=is_preferred):
             logger.info("%s sends the changes from now on", link.peer.instance)
             self._take_changes_from(link)
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -150,12 +150,12 @@
             self.store,
             self.mirror,
             self.instances,
-            self.relay.feed,
+            self.relay.knowledge.feed,
             is_seed,
             self._rng,
         )
-        self.relay.is_failing = lambda: self.follower.is_failing
-        self.relay.is_answered = lambda: self.follower.is_answered
+        self.relay.knowledge.is_failing = lambda: self.follower.is_failing
+        self.relay.knowledge.is_answered = lambda: self.follower.is_answered
         self.relay.is_helping = lambda: self.follower.is_helping and self.follower.is_answered
         self.relay.renewals.renew = self._renew_for_another
         self.registration.store_is_away = self._store_is_away
@@ -164,7 +164,7 @@
 
     def _store_is_away(self) -> bool:
         """Tell whether whoever reads the store, here or elsewhere, is not answered."""
-        state, _ = self.relay.feed.state()
+        state, _ = self.relay.knowledge.feed.state()
         if self.follower.is_reading:
             return self.follower.is_failing and state is not FeedState.CURRENT
         return state is FeedState.FAILING
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -389,9 +389,9 @@
             await until(lambda: not any(node.follower.is_reading for node in followers))
             store.faults.is_down = True
             last = max(followers, key=lambda n: n.instances.rank_behind_readers(2)[0])
-            await until(lambda: last.relay.feed.state()[0] is FeedState.FAILING)
+            await until(lambda: last.relay.knowledge.feed.state()[0] is FeedState.FAILING)
             before = last.store.calls
-            await until(lambda: last.relay.feed.state()[1] > 2.0)
+            await until(lambda: last.relay.knowledge.feed.state()[1] > 2.0)
             assert last.store.calls == before
             store.faults.is_down = False
             await until(lambda: all(not node.follower.is_failing for node in nodes))
@@ -417,7 +417,7 @@
         ):
             nodes = (stays, other, leaves)
             await until(lambda: all(node.instances.count() == 3 for node in nodes))
-            await until(lambda: leaves.relay._link_by_source or leaves.relay._subscribers)
+            await until(lambda: leaves.relay._link_by_source or leaves.relay.subscribers.active)
             store.faults.is_down = True
             await until(lambda: all(n.follower.is_failing for n in nodes if n.follower.is_reading))
             stopping = asyncio.create_task(leaves.stop())
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -17,6 +17,7 @@
     FeedHealth,
     FeedState,
 )
+from cassiashore._internal.mirror.feed_knowledge import FRESH_SECONDS
 from cassiashore._internal.mirror.follower import (
     MAX_RETRY_SECONDS,
     SPARE_RETRY_SECONDS,
@@ -24,12 +25,7 @@
 )
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
-from cassiashore._internal.mirror.relay import (
-    BEAT_SECONDS,
-    FRESH_SECONDS,
-    LINK_SILENCE_SECONDS,
-    FeedRelay,
-)
+from cassiashore._internal.mirror.relay import BEAT_SECONDS, LINK_SILENCE_SECONDS, FeedRelay
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.peers.link import PeerLink
 from cassiashore._internal.peers.messages import FeedBeat, Identity, RenewalWanted
@@ -108,13 +104,13 @@
         follower = await Peer("follower", [reader.address]).start()
         follower.mirror.replace(Snapshot(4, []))
         follower.instances.changed(reader.record.identity.incarnation, encode_record(reader.record))
-        await until(lambda: follower.relay.heard_at > 0)
-        reader.relay.is_failing = lambda: True
-        await until(lambda: follower.relay.heard_at == float("-inf"))
-        reader.relay.is_failing = lambda: False
-        await until(lambda: follower.relay.heard_at > 0)
+        await until(lambda: follower.relay.knowledge.feed.heard_at > 0)
+        reader.relay.knowledge.is_failing = lambda: True
+        await until(lambda: follower.relay.knowledge.feed.heard_at == float("-inf"))
+        reader.relay.knowledge.is_failing = lambda: False
+        await until(lambda: follower.relay.knowledge.feed.heard_at > 0)
         reader.stop()
-        await until(lambda: follower.relay.heard_at == float("-inf"))
+        await until(lambda: follower.relay.knowledge.feed.heard_at == float("-inf"))
         refreshing.cancel()
         follower.stop()
 
@@ -136,9 +132,9 @@
             follower.instances.changed(identity.incarnation, encode_record(record))
         await follower.start()
         await until(lambda: follower.mirror.revision == 5)
-        await until(lambda: sum(len(s.relay._standbys) for s in sources) == 1)
-        assert sum(len(s.relay._subscribers) for s in sources) == 1
-        sender = next(source for source in sources if source.relay._subscribers)
+        await until(lambda: sum(len(s.relay.subscribers.standby) for s in sources) == 1)
+        assert sum(len(s.relay.subscribers.active) for s in sources) == 1
+        sender = next(source for source in sources if source.relay.subscribers.active)
         for source in sources:
             if source is not sender:
                 source.mirror.apply(ChangeBatch(5, 6, [Change("servers/0", 6, b"2")]))
@@ -215,18 +211,21 @@
             peer.mirror.replace(Snapshot(5, [Change("a", 3, b"1")]))
             current(peer)
         for reader in (first, second):
-            reader.relay.is_failing = lambda: True
-        await until(lambda: follower.relay.feed.state()[0] is FeedState.FAILING)
-        helper.relay.is_answered = helper.relay.is_helping = lambda: True
+            reader.relay.knowledge.is_failing = lambda: True
+        await until(lambda: follower.relay.knowledge.feed.state()[0] is FeedState.FAILING)
+        helper.relay.knowledge.is_answered = helper.relay.is_helping = lambda: True
         refreshing = asyncio.create_task(keep_current(helper))
         helper.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
         await until(lambda: follower.mirror.revision == 6)
-        await until(lambda: follower.relay.feed.state()[0] is FeedState.CURRENT)
-        assert not follower.relay.feed.has_direct and not helper.relay.feed.has_direct
-        first.relay.is_failing = lambda: False
-        first.relay.is_answered = lambda: True
+        await until(lambda: follower.relay.knowledge.feed.state()[0] is FeedState.CURRENT)
+        assert (
+            not follower.relay.knowledge.feed.has_direct
+            and not helper.relay.knowledge.feed.has_direct
+        )
+        first.relay.knowledge.is_failing = lambda: False
+        first.relay.knowledge.is_answered = lambda: True
         current(first)
-        await until(lambda: helper.relay.feed.has_direct)
+        await until(lambda: helper.relay.knowledge.feed.has_direct)
         refreshing.cancel()
         for peer in peers:
             peer.stop()
@@ -288,11 +287,11 @@
         await until(lambda: all(len(p.relay._link_by_source) == 2 for p in followers))
         for reader in readers:
             own = [p for p in followers if p.domain == reader.domain]
-            assert len(reader.relay._subscribers) <= len(own) + 2
+            assert len(reader.relay.subscribers.active) <= len(own) + 2
             reader.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
         await until(lambda: all(p.mirror.revision == 6 for p in peers))
         await asyncio.sleep(4 * BEAT_SECONDS)
-        assert all(p.relay.feed.state()[0] is FeedState.CURRENT for p in followers)
+        assert all(p.relay.knowledge.feed.state()[0] is FeedState.CURRENT for p in followers)
         for task in refreshing:
             task.cancel()
         for peer in peers:
@@ -308,16 +307,20 @@
         peers = await in_domains([f"i-{n}" for n in range(12)], domains=3)
         readers = [p for p in peers if p.record in peers[0].instances.store_readers(2)]
         for reader in readers:
-            reader.relay.is_failing = lambda: True
+            reader.relay.knowledge.is_failing = lambda: True
         others = [p for p in peers if p not in readers]
-        await until(lambda: all(p.relay.feed.state()[0] is FeedState.FAILING for p in others))
+        await until(
+            lambda: all(p.relay.knowledge.feed.state()[0] is FeedState.FAILING for p in others)
+        )
         helper = others[-1]
-        helper.relay.is_answered = helper.relay.is_helping = lambda: True
+        helper.relay.knowledge.is_answered = helper.relay.is_helping = lambda: True
         refreshing = asyncio.create_task(keep_current(helper))
         helper.mirror.apply(ChangeBatch(5, 6, [Change("b", 6, b"2")]))
         await until(lambda: all(p.mirror.revision == 6 for p in peers))
         rest = [p for p in others if p is not helper]
-        await until(lambda: all(p.relay.feed.state()[0] is FeedState.CURRENT for p in rest))
+        await until(
+            lambda: all(p.relay.knowledge.feed.state()[0] is FeedState.CURRENT for p in rest)
+        )
         refreshing.cancel()
         for peer in peers:
             peer.stop()
@@ -335,11 +338,11 @@
             follower.instances.changed(record.identity.incarnation, encode_record(record))
             follower.mirror.replace(Snapshot(5, []))
             current(follower)
-        await until(lambda: one.relay.feed.state()[0] is FeedState.CURRENT)
+        await until(lambda: one.relay.knowledge.feed.state()[0] is FeedState.CURRENT)
         await asyncio.sleep(FRESH_SECONDS + RELAY_SILENCE_SECONDS + 2 * BEAT_SECONDS)
         for peer in (one, other):
             assert time.monotonic() - peer.mirror.current_at > FRESH_SECONDS
-            assert peer.relay.feed.state()[0] is FeedState.SILENT
+            assert peer.relay.knowledge.feed.state()[0] is FeedState.SILENT
             peer.stop()
 
     run(test)
@@ -358,7 +361,7 @@
         for revision in (6, 7, 8):
             change = Change(f"servers/{revision}", revision, b"2")
             reader.mirror.apply(ChangeBatch(revision - 1, revision, [change]))
-        reader.relay._packed_snapshot = None  # type: ignore[method-assign,assignment]
+        reader.relay.subscribers._packed_snapshot = None  # type: ignore[method-assign,assignment]
         await follower.start()
         await until(lambda: follower.mirror.revision == 8)
         assert follower.mirror.item_by_key == reader.mirror.item_by_key
@@ -415,7 +418,7 @@
 
         follower.relay._take_beat = fails_once  # type: ignore[method-assign]
         await follower.start()
-        await until(lambda: follower.relay.feed.state()[0] is FeedState.CURRENT)
+        await until(lambda: follower.relay.knowledge.feed.state()[0] is FeedState.CURRENT)
         refreshing.cancel()
         reader.stop()
         follower.stop()
@@ -428,8 +431,8 @@
         reader = await Peer("a", []).start()
         follower = await Peer("b", [reader.address]).start()
         reader.mirror.replace(Snapshot(5, []))
-        await until(lambda: reader.relay._subscribers and follower.relay._link_by_source)
-        for link in [*reader.relay._subscribers, *follower.relay._link_by_source.values()]:
+        await until(lambda: reader.relay.subscribers.active and follower.relay._link_by_source)
+        for link in [*reader.relay.subscribers.active, *follower.relay._link_by_source.values()]:
             sock = link._writer.get_extra_info("socket")
             limit = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
             assert LINK_SILENCE_SECONDS * 1000 < limit <= 10_000
@@ -444,7 +447,7 @@
         reader = await Peer("a", []).start()
         follower = await Peer("b", [reader.address]).start()
         reader.mirror.replace(Snapshot(5, []))
-        await until(lambda: reader.relay._subscribers)
+        await until(lambda: reader.relay.subscribers.active)
         reader.stop()
         follower.stop()
         await asyncio.sleep(0.1)
