Send keys of other targets only where three quarters of the slots are free

Change: a target that is no key's next choice takes other keys, late ones included, below a quarter of its slots instead of half. Ruled out: a lower limit for a key's next ranked targets (more objects made), none at all (14 in 100 more are refused).

--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -43,7 +43,7 @@
 MIN_SLOWNESS = 2.0  # ratio to the service's usual times from which a target counts as slow
 LEAST_LOADED_SAMPLE = 2  # estimated beside the first: the power of two choices
 OVERFLOW_UTILISATION = 0.8  # of the next ranked targets, up to which they take another's key
-SPREAD_UTILISATION = 0.5  # of any other target
+SPREAD_UTILISATION = 0.25  # of any other target; most of its slots serve the keys that it keeps
 
 
 @dataclass(frozen=True, slots=True)
