--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -4,8 +4,8 @@
 
 import heapq
 import random
-from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass
 
 import pytest
 
@@ -19,6 +19,7 @@
     best_of,
 )
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from lab.target_model import SimulatedTarget
 from tests.lib.steering_builders import Clock, registry, report
 
 NOWHERE: frozenset[str] = frozenset()
@@ -192,30 +193,6 @@
     assert regions["erie"] / len(keys) == pytest.approx(0.4, abs=0.04)
 
 
-@dataclass
-class SimulatedTarget:
-    """A target with slots and a queue, which keeps the objects that it handled last."""
-
-    slots: int
-    busy_until: list[float] = field(default_factory=list)
-    kept: OrderedDict[str, None] = field(default_factory=OrderedDict)
-
-    def serve(self, key: str, now: float) -> float:
-        """Return when a request that comes now is answered."""
-        while self.busy_until and self.busy_until[0] <= now:
-            heapq.heappop(self.busy_until)
-        start = now
-        if len(self.busy_until) >= self.slots:
-            start = sorted(self.busy_until)[len(self.busy_until) - self.slots]
-        work = WARM_SECONDS if key in self.kept else UNKNOWN_SECONDS
-        self.kept[key] = None
-        self.kept.move_to_end(key)
-        if len(self.kept) > KEPT:
-            self.kept.popitem(last=False)
-        heapq.heappush(self.busy_until, start + work)
-        return start + work
-
-
 @dataclass
 class Replayed:
     """What became of the requests; ``lost`` ones were turned away at both of their tries."""
@@ -238,7 +215,10 @@
         self.clock = Clock(0.0)
         targets = with_targets(self.clock, near=8, far=0)
         self.placement = place(targets, self.clock)
-        self.servers = {name: SimulatedTarget(6) for name in targets.target_by_id}
+        self.servers = {
+            name: SimulatedTarget(6, KEPT, WARM_SECONDS, UNKNOWN_SECONDS)
+            for name in targets.target_by_id
+        }
         self.rng = random.Random(seed)
         self.returns = returns
         self.ends: list[tuple[float, int, Estimate, str, float]] = []
@@ -277,6 +257,7 @@
                 heapq.heappush(self.returning, (back_at, clock.now, key))
             return
         end = self.servers[best.target.target_id].serve(key, clock.now)
+        assert end is not None
         best.target.load.in_flight += 1
         self.count += 1
         heapq.heappush(self.ends, (end, self.count, best, key, clock.now))
