--- a/src/cassiashore/_internal/mirror/feed_knowledge.py
+++ b/src/cassiashore/_internal/mirror/feed_knowledge.py
@@ -43,6 +43,8 @@
 
     def take(self, source: str, beat: FeedBeat) -> bool:
         """Take in a beat of a source; tell whether it is news for those who follow this one."""
+        if beat.seen is None:
+            return False
         if beat.is_away:
             if not self._heard_away.is_news(beat.seen):
                 return False
@@ -56,7 +58,7 @@
 
     def confirm(self, beat: FeedBeat) -> bool:
         """Take in that the mirror is current, unless that is known; tell whether it was news."""
-        if not self._heard.is_news(beat.seen):
+        if beat.seen is None or not self._heard.is_news(beat.seen):
             return False
         now, age = time.monotonic(), beat.age_ms / 1000
         self._peers_current_at = max(self._peers_current_at, now - age)
@@ -72,12 +74,13 @@
             return None
         revision = self._mirror.revision
         if self.is_failing() and now - self._peers_current_at >= FRESH_SECONDS:
-            return FeedBeat(revision, STALE_MS, Sighting(self._own, int(now * 1000)), is_away=True)
+            seen = Sighting(self._own, int(now * 1000))
+            return FeedBeat(revision, STALE_MS, seen=seen, is_away=True)
         others_fail = self.feed.state()[0] is FeedState.FAILING and not self.is_answered()
         if others_fail and self._away_seen is not None:
-            return FeedBeat(revision, STALE_MS, self._away_seen, is_away=True)
-        seen = self._confirmed_by
-        if seen is None or current_at > self._peers_current_at:
-            seen = Sighting(self._own, int(current_at * 1000))
+            return FeedBeat(revision, STALE_MS, seen=self._away_seen, is_away=True)
+        confirmed_by = self._confirmed_by
+        if confirmed_by is None or current_at > self._peers_current_at:
+            confirmed_by = Sighting(self._own, int(current_at * 1000))
         age_ms = min(STALE_MS, int((now - current_at) * 1000))
-        return FeedBeat(revision, age_ms, seen, is_direct=self.is_answered())
+        return FeedBeat(revision, age_ms, is_direct=self.is_answered(), seen=confirmed_by)
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -11,7 +11,7 @@
 from cassiashore._internal.store.client import ListedInstance
 from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
-PROTOCOL_VERSION = 2  # changes with the meaning of a message
+PROTOCOL_VERSION = 1  # changes with the meaning of a message
 
 
 class _Message(msgspec.Struct, array_like=True, frozen=True):
@@ -208,15 +208,15 @@
 class FeedBeat(_Message, frozen=True, tag=19):
     """Tells that the sender knows all changes up to a revision as of ``age_ms`` ago.
 
-    ``seen`` is the call to the store by which it is known, here or elsewhere. ``is_direct`` tells
-    that the sender reads the store itself and is answered, ``is_away`` that the store did not
-    answer that call.
+    ``is_direct`` tells that the sender reads the store itself and is answered. ``seen`` is the call
+    to the store by which it is known, here or elsewhere, and ``is_away`` tells that the store did
+    not answer that call. Earlier releases do not say which call; nothing follows from their beats.
     """
 
     revision: int
     age_ms: int
-    seen: Sighting
     is_direct: bool = False
+    seen: Sighting | None = None
     is_away: bool = False
 
 
--- a/src/cassiashore/_internal/steering/load.py
+++ b/src/cassiashore/_internal/steering/load.py
@@ -7,6 +7,7 @@
 OTHERS_WEIGHT = 0.4  # of a new report, which is one moment of a load that varies
 OTHERS_HALF_LIFE_SECONDS = 1.5  # a few answer times: an old report says little
 SLOWNESS_WEIGHT = 0.15  # of one answer: the mean of some seven at one target
+SLOWNESS_HALF_LIFE_SECONDS = 2.0  # without an answer: a slow target may be as fast as before
 
 
 @dataclass(slots=True)
@@ -23,6 +24,7 @@
     others: float = 0.0
     reported_at: float = float("-inf")
     slowness: float = 1.0
+    answered_at: float = float("-inf")
 
     def report(self, busy: int, now: float) -> None:
         """Take in a target's own count of requests running and waiting, the answered one gone."""
@@ -42,10 +44,20 @@
         """Return the estimated requests at the target."""
         return self.in_flight + self.others_at(now)
 
-    def answered(self, seconds: float, usual: float) -> None:
+    def slowness_at(self, now: float) -> float:
+        """Return the slowness, which fades while no answers come.
+
+        Otherwise a target that was slow for a while would get nothing for good.
+        """
+        idle = max(0.0, now - self.answered_at)
+        return float(1.0 + (self.slowness - 1.0) * 0.5 ** (idle / SLOWNESS_HALF_LIFE_SECONDS))
+
+    def answered(self, seconds: float, usual: float, now: float) -> None:
         """Take in the time of an answer for a kept object, and the usual one (0: unknown).
 
         An object that is made anew takes several times as long at any target.
         """
         if usual > 0.0:
-            self.slowness += SLOWNESS_WEIGHT * (seconds / usual - self.slowness)
+            known = self.slowness_at(now)
+            self.slowness = known + SLOWNESS_WEIGHT * (seconds / usual - known)
+            self.answered_at = now
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -188,8 +188,9 @@
             work = times.warm_or(profile.objective)
         else:
             work = times.unknown_or(profile.objective)
-        if target.load.slowness >= MIN_SLOWNESS:
-            work *= target.load.slowness
+        slowness = target.load.slowness_at(now)
+        if slowness >= MIN_SLOWNESS:
+            work *= slowness
         slots = max(1, target.report.slots)
         over = target.load.busy(now) + 1 - slots
         typical = self._mean_by_service.get(profile.service, profile.objective * WARM_SHARE)
@@ -236,7 +237,7 @@
         mean = self._mean_by_service.get(profile.service, 0.0)
         self._mean_by_service[profile.service] = _blend(mean, work)
         if self.is_warm(sent.target, profile.key):
-            sent.target.load.answered(work, times.warm)
+            sent.target.load.answered(work, times.warm, self._monotonic())
             times.learn_warm(work)
         elif not sent.expects_warm or times.is_too_long_for_warm(work):
             times.learn_unknown(work)
@@ -252,7 +253,7 @@
         work = self._work_of(sent, seconds)
         times = self.times(profile)
         if self.is_warm(sent.target, profile.key):
-            sent.target.load.answered(work, times.warm)
+            sent.target.load.answered(work, times.warm, self._monotonic())
         else:
             times.learn_at_least(work)
         self._note_key(sent.target, profile.key)
--- a/tests/unit/test_mirror.py
+++ b/tests/unit/test_mirror.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from cassiashore._internal.mirror.mirror import RETURN_SECONDS, StoreMirror
-from cassiashore._internal.mirror.recent_changes import MAX_CHANGES, RecentChanges
+from cassiashore._internal.mirror.recent_changes import MAX_BYTES, MAX_CHANGES, RecentChanges
 from cassiashore._internal.mirror.sender_choice import (
     BEHIND_SECONDS,
     LEVEL_SECONDS,
@@ -152,6 +152,11 @@
     for revision in range(1, 2 * MAX_CHANGES):
         recent.add(ChangeBatch(revision, revision + 1, [Change("a", revision + 1, b"")]))
     assert recent.after(1) is None and recent.after(2 * MAX_CHANGES - 10) is not None
+    for revision in range(2 * MAX_CHANGES, 2 * MAX_CHANGES + 20):
+        recent.add(ChangeBatch(revision, revision + 1, [Change("a", revision + 1, bytes(1 << 20))]))
+    assert recent.after(2 * MAX_CHANGES - 10) is None
+    kept = recent.after(2 * MAX_CHANGES + 19 - (MAX_BYTES >> 20) + 1)
+    assert kept is not None and len(kept.changes) == MAX_BYTES >> 20
     recent.add(ChangeBatch(9 * MAX_CHANGES, 9 * MAX_CHANGES + 1, []))
     assert recent.after(2 * MAX_CHANGES - 10) is None
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -136,6 +136,20 @@
     assert best_of(placement.estimates([first, *others], wanted("k"))).target is not first
 
 
+def test_a_target_that_was_slow_is_asked_again_after_some_seconds() -> None:
+    """It has no answers that would show that it is fast again."""
+    clock = Clock()
+    targets = with_targets(clock, near=3, far=0)
+    placement = place(targets, clock)
+    first, *others = placement.ranked(wanted("k"), NOWHERE)
+    for target, seconds in [(others[0], 0.1), (others[1], 0.1), (first, 0.5)] * 20:
+        placement.answered(Estimate(target, 0.1, 0.0), wanted("k"), seconds)
+    clock.now += 6.5
+    for _ in range(5):
+        placement.answered(Estimate(others[0], 0.1, 0.0), wanted("k"), 0.1)
+    assert best_of(placement.estimates([first, *others], wanted("k"))).target is first
+
+
 def test_a_target_keeps_the_object_of_a_request_that_it_did_not_answer_in_time() -> None:
     clock = Clock()
     targets = with_targets(clock, near=2, far=0)
