Judge targets by requests without an object, too

Cause: a request without an affinity key has its own id as its key, so nothing was ever known of it as an object: since slowness is taken from kept objects only, a slow target of a route without affinity would have been asked like the others. Such keys also pushed those of objects out of the 64 that are remembered for each target.

Change: a request profile tells whether there is an object; without one every answer counts as that of a kept one, and the key is not remembered. Ruled out: other rankings for such requests (they spread by their ids as before). tests/unit/test_placement.py: the new case failed before.

--- a/lab/target_model.py
+++ b/lab/target_model.py
@@ -260,7 +260,13 @@
             self._clock.now = until
 
     def _profile(self, arrival: _Arrival) -> RequestProfile:
-        return RequestProfile(SERVICE, arrival.route, arrival.key, self._fleet.objective)
+        return RequestProfile(
+            SERVICE,
+            arrival.route,
+            arrival.key,
+            self._fleet.objective,
+            has_object=arrival.route == "objects",
+        )
 
     def _arrive(self, arrival: _Arrival) -> None:
         is_object = arrival.route == "objects"
--- a/src/cassiashore/_internal/ingress/call.py
+++ b/src/cassiashore/_internal/ingress/call.py
@@ -39,7 +39,8 @@
 
     ``deadline`` is when the caller gets a final answer, in seconds of the monotonic clock.
     ``may_have_run`` counts sends of which it is not certain that they did not run. ``deliveries``
-    are all answers that targets gave, of which the caller gets one.
+    are all answers that targets gave, of which the caller gets one. ``has_object`` tells that the
+    key is that of an object and not of this request alone.
     """
 
     request: IngressRequest
@@ -48,6 +49,7 @@
     key: str
     deadline: float
     version: int
+    has_object: bool = True
     fingerprint: int = 0
     sends: int = 0
     may_have_run: int = 0
@@ -62,7 +64,10 @@
     @property
     def profile(self) -> RequestProfile:
         """Return what the choice of a target goes by."""
-        return RequestProfile(self.service, self.route.name, self.key, self.route.objective)
+        route = self.route
+        return RequestProfile(
+            self.service, route.name, self.key, route.objective, has_object=self.has_object
+        )
 
     def failed(self, failure: Failure) -> None:
         """Keep the worst knowledge: once a send may have run, the request may have run."""
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -205,6 +205,7 @@
             key or send.request_id.decode("latin-1"),
             request.received_at + min(longest, route.timeout),
             version,
+            has_object=bool(key),
         )
         affinity = key or ""
         call.fingerprint = fingerprint(
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -50,13 +50,15 @@
 class RequestProfile:
     """What the choice of a target goes by: where a request may go, its object, and its objective.
 
-    ``key`` names the object, ``objective`` is in seconds.
+    ``key`` names the object, ``objective`` is in seconds. Without an object (``has_object``) the
+    key is unique, and all targets are alike.
     """
 
     service: str
     route: str
     key: str
     objective: float
+    has_object: bool = True
 
 
 @dataclass(slots=True)
@@ -183,7 +185,7 @@
         """Estimate the time until an answer; ``first`` marks the key's own target."""
         now = self._monotonic()
         times = self.times(profile)
-        expects_warm = first or self.is_warm(target, profile.key)
+        expects_warm = first or self._is_known_warm(target, profile)
         if expects_warm:
             work = times.warm_or(profile.objective)
         else:
@@ -236,12 +238,12 @@
         times = self.times(profile)
         mean = self._mean_by_service.get(profile.service, 0.0)
         self._mean_by_service[profile.service] = _blend(mean, work)
-        if self.is_warm(sent.target, profile.key):
+        if self._is_known_warm(sent.target, profile):
             sent.target.load.answered(work, times.warm, self._monotonic())
             times.learn_warm(work)
         elif not sent.expects_warm or times.is_too_long_for_warm(work):
             times.learn_unknown(work)
-        self._note_key(sent.target, profile.key)
+        self._note_key(sent.target, profile)
 
     def unanswered(self, sent: Estimate, profile: RequestProfile, seconds: float) -> None:
         """Learn from a request that had no answer after ``seconds``, which took longer than that.
@@ -252,20 +254,26 @@
         """
         work = self._work_of(sent, seconds)
         times = self.times(profile)
-        if self.is_warm(sent.target, profile.key):
+        if self._is_known_warm(sent.target, profile):
             sent.target.load.answered(work, times.warm, self._monotonic())
         else:
             times.learn_at_least(work)
-        self._note_key(sent.target, profile.key)
+        self._note_key(sent.target, profile)
 
     def _work_of(self, sent: Estimate, seconds: float) -> float:
         travel = self._distances.round_trip(sent.target.region)
         return max(LEAST_WORK_SECONDS, seconds - sent.waiting - travel)
 
-    def _note_key(self, target: RegisteredTarget, key: str) -> None:
+    def _is_known_warm(self, target: RegisteredTarget, profile: RequestProfile) -> bool:
+        """Tell whether there is no object to be made, or this instance lately had it used."""
+        return not profile.has_object or self.is_warm(target, profile.key)
+
+    def _note_key(self, target: RegisteredTarget, profile: RequestProfile) -> None:
+        if not profile.has_object:
+            return
         keys = self._keys_by_target.setdefault(target.target_id, OrderedDict())
-        keys[key] = None
-        keys.move_to_end(key)
+        keys[profile.key] = None
+        keys.move_to_end(profile.key)
         if len(keys) > KEPT_KEYS:
             keys.popitem(last=False)
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -136,6 +136,29 @@
     assert best_of(placement.estimates([first, *others], wanted("k"))).target is not first
 
 
+def test_a_slow_target_is_left_by_requests_without_an_object_as_well() -> None:
+    """Each of them has a key of its own, of which nothing is ever known."""
+    clock = Clock()
+    targets = with_targets(clock, near=3, far=0)
+    placement = place(targets, clock)
+    slow = next(iter(targets.target_by_id.values()))
+
+    def best(key: str) -> Estimate:
+        profile = RequestProfile("stock", "r", key, OBJECTIVE, has_object=False)
+        order = placement.ranked(profile, NOWHERE)
+        return best_of(placement.estimates(order, profile))
+
+    chosen = []
+    for number in range(300):
+        sent = best(f"id-{number}")
+        profile = RequestProfile("stock", "r", f"id-{number}", OBJECTIVE, has_object=False)
+        clock.now += 0.01
+        placement.answered(sent, profile, 0.9 if sent.target is slow else 0.1)
+        chosen.append(sent.target is slow)
+    assert sum(chosen[100:]) < 0.1 * len(chosen[100:])
+    assert not any(placement.is_warm(slow, f"id-{number}") for number in range(300))
+
+
 def test_a_target_that_was_slow_is_asked_again_after_some_seconds() -> None:
     """It has no answers that would show that it is fast again."""
     clock = Clock()
