Let reported loads of other instances fade with the answer time of the service

After a restart of all instances their callers come at once; a second later 58 of 144 slots are busy, and 343 requests are turned away in half a second. What targets had reported of the others' load halved in 1.5 s only, while an answer takes 0.12 s, and instances that refuse hear nothing newer.

Change: it halves within two usual answers of the service, in 0.1 to 1.5 s.

Large deployments answer in 0.8 s, for which it stays 1.5 s. tests/unit/test_target_model.py: the new case failed before.

--- a/src/cassiashore/_internal/steering/load.py
+++ b/src/cassiashore/_internal/steering/load.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass
 
 OTHERS_WEIGHT = 0.4  # of a new report, which is one moment of a load that varies
-OTHERS_HALF_LIFE_SECONDS = 1.5  # a few answer times: an old report says little
+# A queue is over within a few answers: an old report says little. While a target is taken for busy,
+# nothing is sent to it, and no newer report comes.
+OTHERS_HALF_LIFE_ANSWERS = 2.0
+MIN_HALF_LIFE_SECONDS = 0.1  # a report travels between regions meanwhile
+MAX_HALF_LIFE_SECONDS = 1.5  # callers come and go within seconds
 SLOWNESS_WEIGHT = 0.15  # of one answer: the mean of some seven at one target
 SLOWNESS_HALF_LIFE_SECONDS = 2.0  # without an answer: a slow target may be as fast as before
 
@@ -25,6 +29,7 @@
     reported_at: float = float("-inf")
     slowness: float = 1.0
     answered_at: float = float("-inf")
+    others_half_life: float = MAX_HALF_LIFE_SECONDS
 
     def report(self, busy: int, now: float) -> None:
         """Take in a target's own count of requests running and waiting, the answered one gone."""
@@ -33,12 +38,17 @@
         self.others = current + OTHERS_WEIGHT * (sample - current)
         self.reported_at = now
 
+    def expect_answers_within(self, seconds: float) -> None:
+        """Take in how long answers of the service usually take."""
+        half_life = OTHERS_HALF_LIFE_ANSWERS * seconds
+        self.others_half_life = min(MAX_HALF_LIFE_SECONDS, max(MIN_HALF_LIFE_SECONDS, half_life))
+
     def others_at(self, now: float) -> float:
         """Return the estimated requests of other instances."""
         age = now - self.reported_at
         if age <= 0 or self.others == 0.0:
             return self.others
-        return float(self.others * 0.5 ** (age / OTHERS_HALF_LIFE_SECONDS))
+        return float(self.others * 0.5 ** (age / self.others_half_life))
 
     def busy(self, now: float) -> float:
         """Return the estimated requests at the target."""
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -236,8 +236,9 @@
         """
         work = self._work_of(sent, seconds)
         times = self.times(profile)
-        mean = self._mean_by_service.get(profile.service, 0.0)
-        self._mean_by_service[profile.service] = _blend(mean, work)
+        mean = _blend(self._mean_by_service.get(profile.service, 0.0), work)
+        self._mean_by_service[profile.service] = mean
+        sent.target.load.expect_answers_within(mean)
         if self._is_known_warm(sent.target, profile):
             sent.target.load.answered(work, times.warm, self._monotonic())
             times.learn_warm(work)
--- a/tests/unit/test_target_model.py
+++ b/tests/unit/test_target_model.py
@@ -54,3 +54,26 @@
         by_policy = play(FLEET, pattern, seed=1)
         informed = play(FLEET, pattern, seed=1, is_informed=True)
         assert by_policy.in_time >= informed.in_time
+
+
+def test_refusals_end_with_the_queues_of_a_burst() -> None:
+    """All callers come at once after a restart; reports of full targets are soon out of date.
+
+    While an instance takes a target for full, it sends nothing there and hears nothing newer.
+    """
+    fleet = Fleet(
+        instances=8,
+        targets=8,
+        objects=82,
+        keeps=64,
+        kept_seconds=0.108,
+        made_seconds=0.36,
+        objective=0.25,
+        timeout=2.0,
+        deadline=2.0,
+    )
+    capacity = fleet.targets * fleet.slots / fleet.kept_seconds
+    rates = (0.3 * capacity,) * 6 + (2.0 * capacity,) + (0.35 * capacity,) * 5
+    results = [play(fleet, LoadPattern(rates, CHECKS), seed=seed) for seed in range(1, 6)]
+    after = sum(result.share_in_time(7, 8) for result in results) / len(results)
+    assert after >= 0.85
