Count a target's busy slots once for each estimate; say what silent sources are

No change of behaviour: an unused constant is gone, and the note on silent sources says what counts as silent since reports on the store count once.

--- a/src/cassiashore/_internal/mirror/feed_health.py
+++ b/src/cassiashore/_internal/mirror/feed_health.py
@@ -3,9 +3,10 @@
 Load pattern: hundreds of instances follow three that read the store, and the store turns everybody
 away for nine seconds. If each instance turns to the store itself when its sources have no news, an
 outage brings hundreds of calls a second, which are refused, paid for, and in the way of the store's
-return. So sources tell that they cannot read, and the others take turns: one more of them tries
+return. So readers tell that they are turned away, and the others take turns: one more of them tries
 with each ``SPARE_STEP_SECONDS``, in an order that all of them know. One that succeeds passes on
-what it reads to its sources. Only silent sources, which may all have ended, are no reason to wait.
+what it reads to the readers. Silent sources, which may all have ended, and those without news are
+no reason to wait.
 """
 
 from __future__ import annotations
@@ -15,9 +16,7 @@
 
 RELAY_SILENCE_SECONDS = 1.2  # three beats
 SPARE_STEP_SECONDS = 1.0  # some calls of those before in the order
-SILENCE_SPREAD_SECONDS = (
-    1.0  # over which instances turn to the store after their sources fell silent
-)
+SILENCE_SPREAD_SECONDS = 1.0  # between the first and the last that turn to the store after that
 
 
 class FeedState(Enum):
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -40,7 +40,6 @@
 BEAT_SECONDS = 0.4  # a third of the silence after which a follower reads the store itself
 REDIAL_SECONDS = 0.5  # an instance that starts again listens after half a second
 BOOT_REDIAL_SECONDS = 0.1  # while nothing is known yet; all instances may be starting
-BOOT_POLL_SECONDS = 0.05  # a copy comes within some tens of milliseconds
 MAX_SOURCES = 2  # the one that sends changes, and one on standby
 BOOT_SOURCES = 3  # as many seeds as the settings name
 LINK_SILENCE_SECONDS = 2.0  # five beats: a stream that went silent without a reset
--- a/src/cassiashore/_internal/steering/placement.py
+++ b/src/cassiashore/_internal/steering/placement.py
@@ -194,12 +194,13 @@
         if slowness >= MIN_SLOWNESS:
             work *= slowness
         slots = max(1, target.report.slots)
-        over = target.load.busy(now) + 1 - slots
+        busy = target.load.busy(now)
+        over = busy + 1 - slots
         typical = self._mean_by_service.get(profile.service, profile.objective * WARM_SHARE)
         waiting = over / slots * typical if over > 0 else 0.0
         travel = self._distances.round_trip(target.region)
         seconds = travel + waiting + work
-        return Estimate(target, seconds, waiting, expects_warm, _utilisation(target, now))
+        return Estimate(target, seconds, waiting, expects_warm, busy / slots)
 
     def estimates(
         self, ranked: Iterable[RegisteredTarget], profile: RequestProfile
