Log the rate limits that targets name in their responses

Each change is one target-limit line now (value, previous value, header), explain shows it with a request, and cassiashore_limited_targets counts the targets. Nothing is decided by it yet. Both spellings of the header are read until a log shows which one is sent.

--- a/src/cassiashore/_internal/cli/explain.py
+++ b/src/cassiashore/_internal/cli/explain.py
@@ -12,7 +12,9 @@
 
 from cassiashore._internal.cli.output import EXIT_USAGE, fail, print_line
 
-STATE_EVENTS = frozenset({"target", "eject", "configuration", "evacuation", "balance"})
+STATE_EVENTS = frozenset(
+    {"target", "target-limit", "eject", "configuration", "evacuation", "balance"}
+)
 MAX_STATE_LINES_SHOWN = 8  # latest changes of the request's targets and configuration
 MAX_STATE_LINES_KEPT = 4096  # bounds the memory for state changes before the request
 
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 from cassiashore._internal.ingress.body import BodyError, BodyFault
 from cassiashore._internal.ingress.call import Call, Delivery, cookie_of, host_of
 from cassiashore._internal.ingress.header_names import HeaderNames
+from cassiashore._internal.ingress.rate_limit_header import named_rate_limit
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.ingress.response_sender import ResponseSender
@@ -41,6 +43,8 @@
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
 
+logger = logging.getLogger(__name__)
+
 # Bodies up to this size are buffered completely, and can be sent again.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 MAX_DEADLINE_DIGITS = 9  # of a deadline in milliseconds: eleven days
@@ -385,6 +389,8 @@
         response = outcome.ok_value
         self._record_load(target, response)
         execution_status = classify_response(response.head, self._header_names)
+        if execution_status is not ExecutionStatus.OTHER_TARGET:
+            self._record_rate_limit(target, response)
         step.append(response.head.status)
         if response.is_unframed:
             step.append("unframed")
@@ -464,6 +470,27 @@
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
             target.load.record_report(int(parts[0]) + int(parts[1]), time.monotonic())
 
+    def _record_rate_limit(self, target: RegisteredTarget, response: TargetResponse) -> None:
+        """Record the rate limit that a response names, and log when it changes."""
+        named = named_rate_limit(response.head, self._header_names)
+        if isinstance(named, Err):
+            logger.info('rate limit of target "%s" ignored: %s', target.target_id, named.err_value)
+            return
+        limit = named.ok_value
+        rate = limit.rate if limit is not None else None
+        if rate == target.rate_limit:
+            return
+        self._decisions.write(
+            "target-limit",
+            target=target.target_id,
+            service=target.report.service,
+            failure_domain=target.report.failure_domain,
+            requests_per_s=rate,
+            before=target.rate_limit,
+            header=limit.header if limit is not None else None,
+        )
+        target.rate_limit = rate
+
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/src/cassiashore/_internal/ingress/header_names.py
+++ b/src/cassiashore/_internal/ingress/header_names.py
@@ -11,6 +11,8 @@
 
     ``stamp`` marks responses that were made by a target, and ``not_run`` responses of targets that
     did not run the request. ``expect_target`` names the target that a request is meant for.
+    ``rate_limit`` lists the spellings of the header in which a target names how many requests per
+    second it accepts from all instances together.
     """
 
     request_id: bytes
@@ -21,3 +23,4 @@
     load: bytes
     not_run: bytes
     cold_ms: bytes
+    rate_limit: tuple[bytes, ...]
--- a/src/cassiashore/_internal/observability/metrics.py
+++ b/src/cassiashore/_internal/observability/metrics.py
@@ -65,6 +65,11 @@
             ["service", "failure_domain"],
             registry=registry,
         )
+        self.limited_targets = Gauge(
+            "cassiashore_limited_targets",
+            "Targets whose last response to this instance named a rate limit",
+            registry=registry,
+        )
         self.control_bytes = Gauge(
             "cassiashore_control_bytes", "Bytes sent to peers", registry=registry
         )
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -49,6 +49,8 @@
     """A target with its connection pool, load, health and state as seen by this instance.
 
     An unconfirmed target is one whose entry was missing from the store after an outage.
+    ``rate_limit`` is the number of requests per second that the target accepts from all instances
+    together, as named in its last response; None means that it named none.
     """
 
     report: TargetReport
@@ -57,6 +59,7 @@
     load: TargetLoad = field(default_factory=TargetLoad)
     health: TargetHealth = field(default_factory=TargetHealth)
     cold_until: float = float("-inf")
+    rate_limit: float | None = None
     is_evacuated: bool = False
     is_gone: bool = False
     is_unconfirmed: bool = False
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -350,6 +350,8 @@
         self._metrics.store_calls.set(self.store.calls)
         dropped = self._logs.handler.dropped + self._decisions.suppressed
         self._metrics.log_lines_dropped.set(dropped)
+        targets = self.registry.target_by_id.values()
+        self._metrics.limited_targets.set(sum(t.rate_limit is not None for t in targets))
         table = self.forwarder.table
         self._metrics.version.set(table.version if table else 0)
         body = generate_latest(self._metrics.registry)
--- a/src/cassiashore/platform/wire.py
+++ b/src/cassiashore/platform/wire.py
@@ -14,6 +14,8 @@
     load=b"x-cassiashore-server-load",
     not_run=b"x-cassiashore-not-executed",
     cold_ms=b"x-cassiashore-cold-ms",
+    # The platform's pages give the name without the prefix of its other headers.
+    rate_limit=(b"x-cassiashore-server-limit", b"server-limit"),
 )
 
 READY_PATH = "/cassiashore/ready"
