--- a/tests/lib/ingress.py
+++ b/tests/lib/ingress.py
@@ -138,6 +138,11 @@
     return Ingress(server, forwarder, targets, poison, address)
 
 
+async def start_ingresses(count: int, table: RouteTable) -> list[Ingress]:
+    """Start several instances, which know each other."""
+    return [await start_ingress(table) for _ in range(count)]
+
+
 async def start_targets(ingress: Ingress, *serves: Serve) -> list[FakeTarget]:
     targets = []
     for number, serve in enumerate(serves):
