Keep the rate that a target names over all instances together

Callers noticed nothing. Cause: no instance read the header; a limit of the sum of all instances was known to none of them. Change: a named rate is divided among up to four senders, chosen by hash near the target, with a token bucket each; the other instances share a fifth of it for rare checks, whose intervals expire, to notice its end. Parts add up to the limit with differing lists because an instance counts others for 5 s after they left its list, uses no part before the others had time to learn of it, and none once it is cut off. Rejected callers return one after the other. Ruled out: every instance by the same fraction (at 195 instances one request in 40 s each, and a list of one gives the whole limit); exchange through the store (its outages, and its calls are priced).

--- a/src/cassiashore/_internal/admission/window.py
+++ b/src/cassiashore/_internal/admission/window.py
@@ -41,13 +41,27 @@
 class TokenBucket:
     """A token bucket: a rate with a burst, in any unit."""
 
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        """Create a full bucket."""
+    def __init__(self, rate: float, burst: float, now: float, tokens: float | None = None) -> None:
+        """Create a bucket with the given tokens, or a full one."""
         self.rate = rate
         self.burst = burst
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
         self._refilled_at = now
 
+    def set_rate(self, rate: float, burst: float, now: float) -> None:
+        """Change the rate and the burst, and keep the tokens up to the new burst."""
+        self._refill(now)
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(burst, self._tokens)
+
+    def seconds_until(self, amount: float, now: float) -> float:
+        """Return the seconds until there are enough tokens, which is never at a rate of 0."""
+        self._refill(now)
+        if self._tokens >= amount:
+            return 0.0
+        return (amount - self._tokens) / self.rate if self.rate > 0 else float("inf")
+
     def try_take(self, amount: float, now: float) -> bool:
         """Take tokens if there are enough; return whether they were taken."""
         self._refill(now)
--- a/src/cassiashore/_internal/cli/explain.py
+++ b/src/cassiashore/_internal/cli/explain.py
@@ -29,6 +29,7 @@
     "target-shed": "the target did not run it",
     "another-target": "another target has the address",
     "bad-answer": "the answer did not show whether the request ran",
+    "rate-limit": "the rate that these targets accept from this instance was used up",
     "repeat-budget": "the budget of repeats was used up",
     "unframed": "the answer ended with its connection",
 }
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -37,11 +37,18 @@
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
-from cassiashore._internal.steering.overload import Urgency, Verdict, choose_estimate, decide
+from cassiashore._internal.steering.overload import (
+    MIN_RETRY_SECONDS,
+    Urgency,
+    Verdict,
+    choose_estimate,
+    decide,
+)
 from cassiashore._internal.steering.placement import Estimate, Placement
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
+from cassiashore._internal.steering.target_limits import TargetRateLimits
 
 logger = logging.getLogger(__name__)
 
@@ -74,6 +81,7 @@
         placement: Placement,
         distances: RegionDistances,
         cold: ColdAdmission,
+        target_limits: TargetRateLimits,
         poison: PoisonRegistry,
         make_budget: Callable[[], WindowedRetryBudget],
         decisions: DecisionLog,
@@ -89,6 +97,7 @@
         self._placement = placement
         self._distances = distances
         self._cold = cold
+        self._target_limits = target_limits
         self._poison = poison
         self._make_budget = make_budget
         self._decisions = decisions
@@ -340,6 +349,7 @@
         now = time.monotonic()
         ranked = self._placement.ranked(call.profile, route.home_regions)
         excluded_ids = set(call.tried_target_ids)
+        limited: list[RegisteredTarget] = []
         urgency = Urgency(call.deadline - now, route.objective, route.priority)
         while estimates := self._placement.estimates(
             (
@@ -355,13 +365,36 @@
                 call.retry_after = decision.retry_after
                 call.steps.append(["turned-away", decision.reason, round(best.seconds, 3)])
                 return Err(Failure.not_run(Reason.TURNED_AWAY, decision.reason))
-            if not best.target.is_cold(now) or self._admits_cold(best.target):
+            if self._is_admitted(best.target, now, limited):
+                self._log_limited(call, limited)
                 call.steps.append([best.target.target_id, decision.reason, round(best.seconds, 3)])
                 return Ok(best)
             excluded_ids.add(best.target.target_id)
-        call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
+        self._log_limited(call, limited)
+        if limited:
+            call.retry_after = max(MIN_RETRY_SECONDS, self._target_limits.retry_after(limited))
+        else:
+            call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
         return Err(Failure.not_run(Reason.NO_TARGET, f'no target of "{call.service}" takes work'))
 
+    def _is_admitted(
+        self, target: RegisteredTarget, now: float, limited: list[RegisteredTarget]
+    ) -> bool:
+        """Count a request if the limits of a target allow it; else return False.
+
+        A target whose named rate limit is used up is appended to ``limited``.
+        """
+        if target.is_cold(now) and not self._admits_cold(target):
+            return False
+        if self._target_limits.try_admit(target):
+            return True
+        limited.append(target)
+        return False
+
+    def _log_limited(self, call: Call, limited: list[RegisteredTarget]) -> None:
+        if limited:
+            call.steps.append([f"{len(limited)} targets", "rate-limit"])
+
     def _admits_cold(self, target: RegisteredTarget) -> bool:
         assert self.table is not None
         rule = self.table.rule_by_service.get(target.report.service)
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -42,7 +42,7 @@
         self.record_by_incarnation: dict[str, InstanceRecord] = {}
         self.on_change: Callable[[str, str], None] = lambda what, incarnation: None
         self._load_by_incarnation: dict[str, float] = {}
-        self._active_by_scope: dict[str, list[InstanceInfo]] = {}
+        self._infos_by_scope: dict[str, list[InstanceInfo]] = {}
         self._split_by_min_readers: dict[int, tuple[list[InstanceRecord], list[InstanceRecord]]] = (
             {}
         )
@@ -61,12 +61,12 @@
         return True
 
     def _clear_caches(self) -> None:
-        self._active_by_scope.clear()
+        self._infos_by_scope.clear()
         self._split_by_min_readers.clear()
 
     def apply_load(self, incarnation: str, value: bytes | None) -> None:
         """Record the published load of an instance in requests a second; None means no load."""
-        self._active_by_scope.clear()
+        self._infos_by_scope.clear()
         self._load_by_incarnation.pop(incarnation, None)
         if value is None:
             return
@@ -138,25 +138,38 @@
         """Return the registered instances that have not announced their shutdown."""
         return {i: r for i, r in self.record_by_incarnation.items() if i not in self._leaving}
 
+    def registered(self) -> list[InstanceInfo]:
+        """Return the registered instances, also those that are not active.
+
+        The same list object is returned until a registration or load changes.
+        """
+        known = self._infos_by_scope.get("all")
+        if known is None:
+            known = self._infos_by_scope["all"] = self._infos(self.record_by_incarnation)
+        return known
+
     def _select_active(
         self, scope: str, records: Callable[[], Mapping[str, InstanceRecord]]
     ) -> list[InstanceInfo]:
-        known = self._active_by_scope.get(scope)
+        known = self._infos_by_scope.get(scope)
         if known is None:
-            known = select_active_per_domain(
-                InstanceInfo(
-                    incarnation,
-                    record.identity.failure_domain,
-                    record.region,
-                    record.identity.address,
-                    record.capacity,
-                    self.load_of(incarnation),
-                )
-                for incarnation, record in records().items()
-            )
-            self._active_by_scope[scope] = known
+            known = select_active_per_domain(self._infos(records()))
+            self._infos_by_scope[scope] = known
         return known
 
+    def _infos(self, records: Mapping[str, InstanceRecord]) -> list[InstanceInfo]:
+        return [
+            InstanceInfo(
+                incarnation,
+                record.identity.failure_domain,
+                record.region,
+                record.identity.address,
+                record.capacity,
+                self.load_of(incarnation),
+            )
+            for incarnation, record in records.items()
+        ]
+
     def is_region_leader(self) -> bool:
         """Whether this instance is the leader of its region: the one with the lowest hash."""
         in_region = [r for r in self.records() if r.region == self.own.region]
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -15,38 +15,15 @@
 from collections.abc import Callable, Sequence
 
 from cassiashore._internal.admission.window import SlidingWindow
-from cassiashore._internal.models.hashing import hash64
 from cassiashore._internal.steering.active_instances import InstanceInfo
+from cassiashore._internal.steering.senders import MAX_SENDERS, senders_to
 
 # One second, plus the variation of travel times, by which requests of two windows can arrive within
 # the same second.
 WINDOW_SECONDS = 1.15
-MAX_SENDERS = 4  # per target; with more, the fraction of each would be rounded down to 0
 OVERLAPPING_SETS = 2  # senders by the old and by the new list while instances start and stop
 
 
-def senders_to(
-    target_id: str,
-    failure_domain: str,
-    region: str,
-    instances: Sequence[InstanceInfo],
-    sender_count: int,
-) -> list[str]:
-    """Return the ``sender_count`` instances that may send to a cold target.
-
-    They are ordered by failure domain and region, those of the target first, and then by hash.
-    """
-
-    def sort_key(instance: InstanceInfo) -> tuple[bool, bool, int]:
-        return (
-            instance.failure_domain != failure_domain,
-            instance.region != region,
-            hash64(f"{target_id}\n{instance.incarnation}"),
-        )
-
-    return [c.incarnation for c in sorted(instances, key=sort_key)[:sender_count]]
-
-
 class ColdAdmission:
     """Decides whether this instance may send another request to a cold target."""
 
--- a/src/cassiashore/platform/changes.py
+++ b/src/cassiashore/platform/changes.py
@@ -13,6 +13,7 @@
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.placement import Placement
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
+from cassiashore._internal.steering.target_limits import TargetRateLimits
 from cassiashore.platform.decoding import ConfigurationDecoder, decode_target
 from cassiashore.platform.wire import (
     CONFIGURATION_KEY,
@@ -33,6 +34,7 @@
         forwarder: Forwarder,
         placement: Placement,
         cold: ColdAdmission,
+        target_limits: TargetRateLimits,
         decisions: DecisionLog,
     ) -> None:
         """Subscribe to the mirror and to the registry."""
@@ -41,6 +43,7 @@
         self.forwarder = forwarder
         self.placement = placement
         self.cold = cold
+        self.target_limits = target_limits
         self._decisions = decisions
         self._configuration_decoder = ConfigurationDecoder()
         mirror.listen(CONFIGURATION_KEY, self._configuration_changed)
@@ -93,6 +96,7 @@
     def _registry_changed(self, change: str, target: RegisteredTarget) -> None:
         if target.is_gone:
             self.cold.remove_target(target.target_id)
+            self.target_limits.remove_target(target.target_id)
             self.placement.remove_target(target.target_id)
         report = target.report
         self._decisions.write(
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -38,6 +38,8 @@
 from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
 from cassiashore._internal.steering.routes import IngressLimits
+from cassiashore._internal.steering.senders import RecentInstances
+from cassiashore._internal.steering.target_limits import TargetRateLimits
 from cassiashore._internal.supervision import TaskSet
 from cassiashore.platform.changes import StoreChangeHandler
 from cassiashore.platform.endpoints import Endpoints
@@ -59,6 +61,7 @@
 CONNECTIONS_PER_TARGET = 64  # from one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_INTERVAL_SECONDS = 5.0  # half of the idle time after which targets close connections
+INSTANCE_POLL_SECONDS = 0.5  # a fifth of the time after which an instance uses parts of limits
 # Share of the grace period after which requests are refused: later ones could be interrupted.
 REFUSE_REQUESTS_AFTER_SHARE = 0.45
 STOP_BY_SHARE = 0.93  # of the grace period, so that the process exits before it is killed
@@ -116,6 +119,15 @@
             self.registry, self.distances, self.balance, self.own.region, time.monotonic
         )
         self.poison = PoisonRegistry(limit=POISON_CRASH_LIMIT)
+        self.recent_active = RecentInstances(
+            self.instances.own_incarnation,
+            lambda: self.instances.active_instances(without_own=False),
+            self._is_isolated,
+            time.monotonic,
+        )
+        self.target_limits = TargetRateLimits(
+            self.instances.own_incarnation, self.recent_active.instances, time.monotonic, self._rng
+        )
         bounds = settings.terms.bounds
         self.cold = ColdAdmission(
             self.instances.own_incarnation,
@@ -130,6 +142,7 @@
             self.placement,
             self.distances,
             self.cold,
+            self.target_limits,
             self.poison,
             self._make_budget,
             self._decisions,
@@ -177,6 +190,11 @@
             return self.follower.is_failing and state is not FeedState.CURRENT
         return state is FeedState.FAILING
 
+    def _is_isolated(self) -> bool:
+        """Tell whether this instance reaches neither the store nor an instance that follows it."""
+        state, _ = self.relay.freshness.feed.state()
+        return state is FeedState.SILENT and not self.follower.has_store_access
+
     async def _renew_for_peer(self, wanted: RenewalRequest) -> bool:
         """Renew a peer's lease: through an instance that reads the store, else by an own call."""
         may_ask_readers = wanted.may_forward and not self.follower.is_reading
@@ -201,6 +219,7 @@
             self.forwarder,
             self.placement,
             self.cold,
+            self.target_limits,
             self._decisions,
         )
         self.shared = SharedState(
@@ -235,6 +254,7 @@
             self._register_when_ready(),
             self._watch_settings(),
             self._maintain(),
+            self._follow_instances(),
             *self.shared.coroutines(),
         ):
             self.tasks.spawn(work)
@@ -305,6 +325,11 @@
             for target in self.registry.target_by_id.values():
                 target.pool.close_stale()
 
+    async def _follow_instances(self) -> None:
+        while True:
+            self.recent_active.update()
+            await asyncio.sleep(INSTANCE_POLL_SECONDS)
+
     def reload(self, *, signalled: bool) -> None:
         """Read the settings again; keep the current ones if the file is invalid."""
         try:
