Let no instance that others may not know send to a cold target

A restart no longer changes the senders of others. test_changes_by_operators_and_targets_are_applied assumed that an instance may send to a cold target in the moment in which it registers, which is the fault; it waits until the instance counts, and checks the same answers.

--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -115,17 +115,11 @@
         registered = len(self.record_by_incarnation)
         return registered + (self.own_incarnation not in self.record_by_incarnation)
 
-    def active_with_own(self) -> list[InstanceInfo]:
-        """Return the active instances, with the own one treated as registered.
+    def active_instances(self, *, without_own: bool) -> list[InstanceInfo]:
+        """Return the registered instances that the directory names to callers.
 
         The same list object is returned until a registration or load changes.
         """
-        return self._select_active(
-            "with own", lambda: {self.own_incarnation: self.own, **self._not_leaving()}
-        )
-
-    def active_instances(self, *, without_own: bool) -> list[InstanceInfo]:
-        """Return the registered instances that the directory names to callers."""
         if not without_own:
             return self._select_active("registered", self._not_leaving)
         own = self.own_incarnation
--- a/src/cassiashore/_internal/steering/cold.py
+++ b/src/cassiashore/_internal/steering/cold.py
@@ -7,7 +7,8 @@
 Only a few instances, the senders, may send requests to a cold target until it is warm; rendezvous
 hashing selects the same senders on every instance. Each sender may use an equal fraction of half of
 the limit: while instances start and stop, two sets of senders may be active, and both together stay
-within the limit.
+within the limit. An instance that the others may not know yet is no sender, since instances that
+start together and know only themselves would all be senders (see ``senders``).
 """
 
 from __future__ import annotations
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -131,7 +131,7 @@
         bounds = settings.terms.bounds
         self.cold = ColdAdmission(
             self.instances.own_incarnation,
-            self.instances.active_with_own,
+            self.recent_active.instances,
             time.monotonic,
             bounds.cold_overshoot,
             bounds.cold_slack,
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -99,6 +99,8 @@
             assert await request_front(node, request("/b/1")) == 503
             store.delete("op/evacuate/erie-a")
             await wait_until(lambda: not node.registry.evacuated)
+            # The target is cold now, and only an instance that others know sends to it.
+            await wait_until(node.recent_active.count)
             assert await request_front(node, request("/b/1")) == 200
             store.put_json("servers/i-1", entry(target.address, state="draining", seq=2))
             await wait_until(lambda: not node.registry.usable("stock"))
@@ -533,3 +535,14 @@
             await wait_until(is_gone)
 
     run(test)
+
+
+def test_an_instance_that_is_not_registered_uses_no_part_of_shared_limits(tmp_path: Path) -> None:
+    """All others may have started at the same moment, and each would know only itself."""
+
+    async def test() -> None:
+        document = settings("127.0.0.1:9")  # no store answers there
+        async with running_node(tmp_path, document, ready=False) as node:
+            assert node.cold.allowance("t-1", "erie-a", "erie", 11.0) == 0
+
+    run(test)
--- a/tests/lib/instance_simulation.py
+++ b/tests/lib/instance_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -43,6 +44,7 @@
         self.is_store_away = False
         self._on_start = on_start
         self._runs = 0
+        self._sent_at: deque[float] = deque()
         self._registered: dict[str, InstanceInfo] = {}
         self._lists: list[tuple[float, tuple[InstanceInfo, ...]]] = [(0.0, ())]
         self._register_at: dict[str, float] = {}
@@ -98,6 +100,25 @@
         self.rng.shuffle(instances)
         return instances
 
+    def most_in_window(
+        self, sends: Callable[[SimulatedInstance], bool], *, seconds: float, window: float
+    ) -> int:
+        """Let every instance send as much as it may; return the most sends in any window.
+
+        Sends of earlier calls count in the first windows.
+        """
+        end = self.clock.now + seconds
+        sent = self._sent_at
+        most = 0
+        while self.clock.now < end:
+            for instance in self.step():
+                while sends(instance):
+                    sent.append(self.clock.now)
+            while sent and sent[0] <= self.clock.now - window:
+                sent.popleft()
+            most = max(most, len(sent))
+        return most
+
     def _write_registrations(self) -> None:
         now, changed = self.clock.now, False
         for address in [a for a, at in self._register_at.items() if at <= now]:
--- a/tests/unit/test_steering_limits.py
+++ b/tests/unit/test_steering_limits.py
@@ -10,6 +10,7 @@
 from cassiashore._internal.steering.active_instances import InstanceInfo
 from cassiashore._internal.steering.cold import ColdAdmission, senders_to
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
+from tests.lib.instance_simulation import InstanceSimulation, SimulatedInstance
 from tests.lib.steering_builders import Clock
 
 
@@ -52,6 +53,25 @@
     assert max_sent > 0 or limit < 2
 
 
+@pytest.mark.parametrize("count", [10, 195])
+def test_instances_that_start_with_empty_lists_keep_the_rate_of_a_cold_target(count: int) -> None:
+    """All leases lapsed while the instances had no power; each sends as much as it may."""
+    rate, slack = 11.0, 5.0
+    admission_by_address: dict[str, ColdAdmission] = {}
+
+    def start(instance: SimulatedInstance) -> None:
+        admission_by_address[instance.info.address] = ColdAdmission(
+            instance.info.incarnation, instance.recent.instances, instance.clock, 1.5, slack
+        )
+
+    def sends(instance: SimulatedInstance) -> bool:
+        admission = admission_by_address[instance.info.address]
+        return admission.try_admit("t-1", "zone-1", "region-1", rate)
+
+    simulation = InstanceSimulation(count, 1, start)
+    assert 0 < simulation.most_in_window(sends, seconds=8, window=1.0) <= rate * 1.5 + slack
+
+
 def test_senders_are_near_and_do_not_depend_on_the_order_of_instances() -> None:
     instances = make_instances(30)
     chosen = senders_to("t-1", "zone-1", "region-1", instances, 4)
