--- a/src/cassiashore/_internal/steering/retry_budget.py
+++ b/src/cassiashore/_internal/steering/retry_budget.py
@@ -3,7 +3,8 @@
 When targets shed load or fail and every request is retried, the retries use the capacity for first
 sends, which then fail as well. Each instance may retry a fraction of its own first sends, below the
 allowed ratio, plus an equal part of a fixed allowance. As each instance counts its own requests
-only, the sum stays within the limit whatever happens to the other instances.
+only, the sum stays within the limit whatever happens to the other instances. An instance that the
+others may not know yet uses no part of the allowance.
 """
 
 from __future__ import annotations
@@ -27,7 +28,10 @@
         instances: Callable[[], int],
         monotonic: Callable[[], float],
     ) -> None:
-        """Limit the retries of all instances to ``ratio`` of the requests plus ``allowance``."""
+        """Limit the retries of all instances to ``ratio`` of the requests plus ``allowance``.
+
+        The allowance is divided by ``instances``; 0 means that this instance uses no part of it.
+        """
         self._ratio = ratio
         self._allowance = allowance
         self._instances = instances
@@ -42,6 +46,7 @@
     def try_retry(self) -> bool:
         """Count a retry if the budget allows it, and return whether it does."""
         now = self._monotonic()
-        share = self._allowance * ALLOWANCE_SAFETY_FACTOR / max(1, self._instances())
+        instances = self._instances()
+        share = self._allowance * ALLOWANCE_SAFETY_FACTOR / instances if instances else 0.0
         earned = self._ratio * RATIO_SAFETY_FACTOR * self._first_sends.count(now)
         return self._retries.try_add(now, int(share + earned))
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable, Sequence
 
 from result import Ok
 
@@ -29,7 +30,7 @@
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.peers.messages import Identity, RenewalRequest
 from cassiashore._internal.requests.poison import PoisonRegistry
-from cassiashore._internal.steering.active_instances import capacity_of
+from cassiashore._internal.steering.active_instances import InstanceInfo, capacity_of
 from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.directory import instances_for_caller
@@ -119,11 +120,9 @@
             self.registry, self.distances, self.balance, self.own.region, time.monotonic
         )
         self.poison = PoisonRegistry(limit=POISON_CRASH_LIMIT)
-        self.recent_active = RecentInstances(
-            self.instances.own_incarnation,
-            lambda: self.instances.active_instances(without_own=False),
-            self._is_isolated,
-            time.monotonic,
+        self.recent = self._follow_list(self.instances.registered)
+        self.recent_active = self._follow_list(
+            lambda: self.instances.active_instances(without_own=False)
         )
         self.target_limits = TargetRateLimits(
             self.instances.own_incarnation, self.recent_active.instances, time.monotonic, self._rng
@@ -327,6 +326,7 @@
 
     async def _follow_instances(self) -> None:
         while True:
+            self.recent.update()
             self.recent_active.update()
             await asyncio.sleep(INSTANCE_POLL_SECONDS)
 
@@ -386,6 +386,10 @@
         table = self.forwarder.table
         return table.limits if table is not None else DEFAULT_LIMITS
 
+    def _follow_list(self, listed: Callable[[], Sequence[InstanceInfo]]) -> RecentInstances:
+        own = self.instances.own_incarnation
+        return RecentInstances(own, listed, self._is_isolated, time.monotonic)
+
     def _make_pool(self, address: Address) -> ConnectionPool:
         return ConnectionPool(address, CONNECTIONS_PER_TARGET)
 
@@ -395,7 +399,7 @@
             bounds.retry_budget_ratio,
             bounds.retry_budget_slack,
             bounds.budget_window_s,
-            self.instances.count,
+            self.recent.count,
             time.monotonic,
         )
 
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -544,5 +544,6 @@
         document = settings("127.0.0.1:9")  # no store answers there
         async with running_node(tmp_path, document, ready=False) as node:
             assert node.cold.allowance("t-1", "erie-a", "erie", 11.0) == 0
+            assert not node._make_budget().try_retry()
 
     run(test)
--- a/tests/unit/test_steering_limits.py
+++ b/tests/unit/test_steering_limits.py
@@ -72,6 +72,23 @@
     assert 0 < simulation.most_in_window(sends, seconds=8, window=1.0) <= rate * 1.5 + slack
 
 
+@pytest.mark.parametrize("count", [10, 195])
+def test_instances_that_start_with_empty_lists_keep_the_allowance_of_retries(count: int) -> None:
+    """No request was sent yet, so the fixed allowance is all that they may use."""
+    budget_by_address: dict[str, WindowedRetryBudget] = {}
+
+    def start(instance: SimulatedInstance) -> None:
+        budget_by_address[instance.info.address] = WindowedRetryBudget(
+            0.2, 430, 10.0, instance.recent.count, instance.clock
+        )
+
+    def retries(instance: SimulatedInstance) -> bool:
+        return budget_by_address[instance.info.address].try_retry()
+
+    simulation = InstanceSimulation(count, 1, start)
+    assert 0 < simulation.most_in_window(retries, seconds=8, window=10.0) <= 430
+
+
 def test_senders_are_near_and_do_not_depend_on_the_order_of_instances() -> None:
     instances = make_instances(30)
     chosen = senders_to("t-1", "zone-1", "region-1", instances, 4)
