Keep the connections that a target accepts over all instances together

Change: each instance opens its part; when all of its connections are in use, the request tries another target and nothing is held against this one.

--- a/src/cassiashore/_internal/cli/explain.py
+++ b/src/cassiashore/_internal/cli/explain.py
@@ -24,6 +24,7 @@
     "queue-too-long": "the answer would be late and no slot was free",
     "no-time": "the time left would not be enough",
     "deadline": "its time ran out",
+    "no-capacity": "all connections that this instance may open were in use",
     "target-unreachable": "no connection could be opened",
     "target-failed": "the connection was lost before the answer was complete",
     "target-shed": "the target did not run it",
--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -132,6 +132,8 @@
     remaining = deadline - time.monotonic()
     if remaining <= 0:
         return Err(Failure.not_run(Reason.DEADLINE, "the deadline passed before sending"))
+    if pool.is_full:
+        return Err(Failure.not_run(Reason.NO_CAPACITY, f"all {pool.limit} connections are in use"))
     connect_timeout = min(remaining, max(MIN_CONNECT_SECONDS, ROUND_TRIPS_TO_CONNECT * round_trip))
     max_idle = None if outgoing.is_idempotent else MAX_NON_IDEMPOTENT_IDLE_SECONDS
     acquired = await pool.acquire(max_idle, connect_timeout)
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -48,6 +48,7 @@
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
 from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
+from cassiashore._internal.steering.senders import connection_limit
 from cassiashore._internal.steering.target_limits import TargetRateLimits
 
 logger = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
     BodyFault.TOO_LARGE: Reason.BODY_TOO_LARGE,
     BodyFault.WITHOUT_CONTENT: Reason.MALFORMED,
 }
+_UNSENT_REASONS = frozenset({Reason.TARGET_UNREACHABLE, Reason.NO_CAPACITY})
 _CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
 
 
@@ -84,11 +86,15 @@
         target_limits: TargetRateLimits,
         poison: PoisonRegistry,
         make_budget: Callable[[], WindowedRetryBudget],
+        instance_count: Callable[[], int],
         decisions: DecisionLog,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
-        """Create a forwarder; ``table`` is None until a configuration is applied."""
+        """Create a forwarder; ``table`` is None until a configuration is applied.
+
+        ``instance_count`` returns the number of instances that share limits, or 0 if unknown.
+        """
         self.table: RouteTable | None = None
         self.refuses_new_requests = False
         self.requests = 0
@@ -100,6 +106,7 @@
         self._target_limits = target_limits
         self._poison = poison
         self._make_budget = make_budget
+        self._instance_count = instance_count
         self._decisions = decisions
         self._metrics = metrics
         self._response_sender = ResponseSender(header_names, decisions, metrics)
@@ -407,6 +414,7 @@
     ) -> Result[Delivery, Failure]:
         """Send the request once, and record the load and health of the target."""
         target = chosen.target
+        self._limit_connections(target)
         target.load.in_flight += 1
         started = time.monotonic()
         round_trip = self._distances.round_trip(target.region)
@@ -436,6 +444,13 @@
             target.pool.discard(response.open_connection)
         return Err(self._inconclusive_failure(call, target, execution_status, response))
 
+    def _limit_connections(self, target: RegisteredTarget) -> None:
+        """Limit the connections of this instance to its part of what the target accepts."""
+        rule = self.table.rule_by_service.get(target.report.service) if self.table else None
+        if rule is not None and rule.max_connections > 0:
+            count = self._instance_count()
+            target.pool.limit = connection_limit(rule.max_connections, count)
+
     def _inconclusive_failure(
         self,
         call: Call,
@@ -463,9 +478,12 @@
             if failure.outcome is Outcome.UNKNOWN:
                 self._placement.record_timeout(chosen, call.profile, seconds)
             return
-        if failure.reason is Reason.TARGET_UNREACHABLE:
+        if failure.reason in _UNSENT_REASONS:
             call.sends -= 1
             call.unreachable += 1
+        if failure.reason is Reason.NO_CAPACITY:
+            call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
+            return
         if failure.reason in _CRASH_REASONS and failure.outcome is Outcome.UNKNOWN:
             self._poison.record_crash(call.fingerprint, target.target_id)
         if target.health.record_failure() or failure.reason is Reason.TARGET_UNREACHABLE:
--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -37,6 +37,11 @@
         self._monotonic = monotonic
         self._idle: deque[HttpConnection] = deque()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all connections that the limit allows are in use."""
+        return not self._idle and self.open >= self.limit
+
     async def acquire(
         self, max_idle: float | None = None, connect_timeout: float | None = None
     ) -> Result[HttpConnection, str]:
--- a/src/cassiashore/_internal/steering/senders.py
+++ b/src/cassiashore/_internal/steering/senders.py
@@ -15,6 +15,9 @@
 from cassiashore._internal.steering.active_instances import InstanceInfo
 
 MAX_SENDERS = 4  # per target; with more, the part of each would be less than one request
+MAX_CONNECTIONS_PER_TARGET = 64  # from one instance; a target's queue is shorter than that
+# While an instance does not know how many others there are: several times the slots of a target.
+UNKNOWN_SHARE_CONNECTIONS = 16
 # An instance that left the list may still send: it stops, or its lease ended while it was cut off.
 RETENTION_SECONDS = 5.0
 # Time for a new registration to be read and relayed to all instances, with a margin.
@@ -46,6 +49,19 @@
     return [c.incarnation for c in sorted(instances, key=sort_key)[:sender_count]]
 
 
+def connection_limit(most_connections: int, instances: int) -> int:
+    """Return how many connections an instance may open to a target that accepts a number from all.
+
+    ``instances`` is the number of instances that share it; 0 means that it is not known.
+
+    >>> connection_limit(330, 8), connection_limit(3600, 195), connection_limit(3600, 0)
+    (41, 18, 16)
+    """
+    if instances == 0:
+        return min(UNKNOWN_SHARE_CONNECTIONS, max(1, most_connections))
+    return max(1, min(MAX_CONNECTIONS_PER_TARGET, most_connections // instances))
+
+
 class RecentInstances:
     """The instances that may be running: those listed now or within ``RETENTION_SECONDS``.
 
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -39,7 +39,7 @@
 from cassiashore._internal.steering.registry import TargetRegistry
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
 from cassiashore._internal.steering.routes import IngressLimits
-from cassiashore._internal.steering.senders import RecentInstances
+from cassiashore._internal.steering.senders import MAX_CONNECTIONS_PER_TARGET, RecentInstances
 from cassiashore._internal.steering.target_limits import TargetRateLimits
 from cassiashore._internal.supervision import TaskSet
 from cassiashore.platform.changes import StoreChangeHandler
@@ -59,7 +59,6 @@
 DIRECTORY_TTL_SECONDS = 2.0  # bounds how long callers use an instance that has ended
 LISTEN_BACKLOG = 1024  # all callers may reconnect at once after a restart
 POISON_CRASH_LIMIT = 3  # crashes after which a request is no longer sent to any target
-CONNECTIONS_PER_TARGET = 64  # from one instance; a target's queue is shorter than that
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_INTERVAL_SECONDS = 5.0  # half of the idle time after which targets close connections
 INSTANCE_POLL_SECONDS = 0.5  # a fifth of the time after which an instance uses parts of limits
@@ -144,6 +143,7 @@
             self.target_limits,
             self.poison,
             self._make_budget,
+            self.recent.count,
             self._decisions,
             self._metrics,
             self._rng,
@@ -391,7 +391,7 @@
         return RecentInstances(own, listed, self._is_isolated, time.monotonic)
 
     def _make_pool(self, address: Address) -> ConnectionPool:
-        return ConnectionPool(address, CONNECTIONS_PER_TARGET)
+        return ConnectionPool(address, MAX_CONNECTIONS_PER_TARGET)
 
     def _make_budget(self) -> WindowedRetryBudget:
         bounds = self.settings.terms.bounds
--- a/tests/lib/ingress.py
+++ b/tests/lib/ingress.py
@@ -130,6 +130,7 @@
         target_limits,
         poison,
         lambda: WindowedRetryBudget(0.2, 60, 10.0, lambda: 1, monotonic),
+        lambda: len(instances),
         DecisionLog(),
         Metrics(),
         rng,
