Believe a refusal on a reused connection only if it names its request

A repeated refusal that names its request was skipped already. Change: such a refusal proves nothing unless it is the first answer of its connection, which is not used again then. A head cut off at any byte was never taken for an answer: tested at each position, no change.

--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -60,7 +60,8 @@
 class TargetResponse:
     """A response of a target.
 
-    ``open_connection`` is set if more of the body has to be read from it.
+    ``open_connection`` is set if more of the body has to be read from it. ``is_identified`` is set
+    if the response names its request, or is the first one of its connection.
     """
 
     head: ResponseHead
@@ -68,6 +69,7 @@
     open_connection: HttpConnection | None
     seconds: float
     is_unframed: bool
+    is_identified: bool = True
 
 
 class ExecutionStatus(Enum):
@@ -79,12 +81,19 @@
     UNPROVEN = "unproven"
 
 
-def classify_response(head: ResponseHead, header_names: HeaderNames) -> ExecutionStatus:
-    """Return what the head of a response proves about whether the request ran."""
-    if head.get(header_names.not_run) is not None:
+def classify_response(
+    head: ResponseHead, header_names: HeaderNames, *, is_identified: bool = True
+) -> ExecutionStatus:
+    """Return what the head of a response proves about whether the request ran.
+
+    A refusal without a request id on a reused connection may be a repeated one of an earlier
+    request, so it proves nothing.
+    """
+    is_refusal = head.get(header_names.not_run) is not None
+    if is_refusal or head.status == 421:
+        if not is_identified:
+            return ExecutionStatus.UNPROVEN
         return ExecutionStatus.OTHER_TARGET if head.status == 421 else ExecutionStatus.NOT_RUN
-    if head.status == 421:
-        return ExecutionStatus.OTHER_TARGET
     if head.get(header_names.stamp) is None and 200 <= head.status < 300:
         return ExecutionStatus.UNPROVEN
     if head.status in _INCONCLUSIVE_STATUSES:
@@ -181,7 +190,12 @@
             connection.disable_reuse()
             body_task.cancel()
     open_connection = None if connection.fully_read or outgoing.method == "HEAD" else connection
-    return Ok(TargetResponse(head, body, open_connection, 0.0, connection.is_unframed))
+    is_identified = connection.exchanges == 1 or head.get(header_names.request_id) is not None
+    if not is_identified:
+        connection.disable_reuse()
+    return Ok(
+        TargetResponse(head, body, open_connection, 0.0, connection.is_unframed, is_identified)
+    )
 
 
 async def _read_up_to(connection: HttpConnection, limit: int) -> bytes:
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -429,7 +429,9 @@
             return outcome
         response = outcome.ok_value
         self._record_load(target, response)
-        execution_status = classify_response(response.head, self._header_names)
+        execution_status = classify_response(
+            response.head, self._header_names, is_identified=response.is_identified
+        )
         if execution_status is not ExecutionStatus.OTHER_TARGET:
             self._record_rate_limit(target, response)
         step.append(response.head.status)
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -8,13 +8,14 @@
 import pytest
 import uvloop
 
+from cassiashore._internal.steering.placement import RequestProfile
 from cassiashore._internal.steering.routes import (
     IngressLimits,
     RequestKind,
     RouteTable,
     UnreadableRoute,
 )
-from tests.lib.ingress import request, start_ingress, start_targets
+from tests.lib.ingress import Ingress, request, start_ingress, start_targets
 from tests.lib.steering_builders import FakeTarget, Serve, build_response, header_of, route, table
 
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
@@ -32,6 +33,11 @@
     return sum(len(target.heads) for target in targets)
 
 
+def ranked_first(ingress: Ingress, key: str) -> str:
+    profile = RequestProfile("stock", "r", key, 0.25)
+    return ingress.forwarder._placement.ranked(profile, frozenset())[0].target_id
+
+
 def test_a_response_is_forwarded_and_the_request_names_its_target() -> None:
     async def test() -> None:
         ingress = await start_ingress(table(route()))
@@ -287,6 +293,74 @@
     run(test)
 
 
+@pytest.mark.parametrize("status", [b"503 Service Unavailable", b"429 Busy", b"421 Misdirected"])
+@pytest.mark.parametrize("echoes_id", [True, False])
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_a_repeated_refusal_of_an_earlier_request_proves_nothing(
+    status: bytes, echoes_id: bool, kind: RequestKind
+) -> None:
+    """The second request runs, and the target first writes the refusal of an earlier one again."""
+
+    async def test() -> None:
+        ran: list[bytes] = []
+
+        async def repeats(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            ran.append(header_of(head, b"x-cassiashore-request-id"))
+            if ran[-1] == b"two":
+                earlier = b"x-cassiashore-request-id: zero\r\n"
+                extra = b"X-Cassiashore-Not-Executed: 1\r\n"
+                refusal = build_response(earlier, status=status, extra=extra)
+                if not echoes_id:
+                    refusal = refusal.replace(b"X-Cassiashore-Request-Id: zero\r\n", b"")
+                writer.write(refusal)
+                await asyncio.sleep(0.02)
+            writer.write(build_response(head, b"ran"))
+
+        async def other(_: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
+            ran.append(header_of(head, b"x-cassiashore-request-id"))
+            writer.write(build_response(head, b"ran"))
+
+        ingress = await start_ingress(table(route(kind=kind)))
+        first, _ = await start_targets(ingress, repeats, other)
+        key = next(str(n) for n in range(99) if ranked_first(ingress, str(n)) == "t-0")
+        assert (await ingress.ask(request(request_id="one", key=key)))[2] == b"ran"
+        code, _, body = await ingress.ask(request(request_id="two", key=key))
+        assert (len(first.heads), first.connections) == (2, 1)
+        assert (code, body) == (200, b"ran") if echoes_id else code in (200, 502)
+        assert ran.count(b"two") == 1 or kind is not NON_IDEMPOTENT
+        assert "t-0" in ingress.registry.target_by_id
+
+    run(test)
+
+
+@pytest.mark.parametrize(("kind", "expected"), [(NON_IDEMPOTENT, 1), (RequestKind.IDEMPOTENT, 2)])
+def test_a_head_that_is_cut_off_anywhere_is_no_response(kind: RequestKind, expected: int) -> None:
+    async def test() -> None:
+        complete = build_response(b"x-cassiashore-request-id: id-1\r\n", b"0123456789")
+        head_size = complete.index(b"\r\n\r\n") + 3
+        for size in range(head_size + 1):
+
+            async def cut(
+                _: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                head: bytes,
+                size: int = size,
+            ) -> None:
+                writer.write(complete[:size])
+                writer.close()
+
+            ingress = await start_ingress(table(route(kind=kind)))
+            targets = await start_targets(ingress, cut, cut)
+            status, headers, body = await ingress.ask(request())
+            assert (status, send_count(targets)) == (502, expected), complete[:size]
+            assert "x-cassiashore-response-stamp" not in headers and b"0123" not in body
+            ingress.server.stop_listening()
+
+    run(test)
+
+
 def test_a_response_before_the_end_of_the_body_closes_the_connection() -> None:
     async def test() -> None:
         async def responds_early(
