Take a late request during a planned stop only if it can end before the process does

With 10 s of grace, a request with a deadline of 12 s that came after 3 s was passed on and cut off 6.3 s later if its target still worked. Change: from 2 s on, when callers have had time to learn that the instance leaves, a request is taken only if its deadline comes before the end; others are refused at once as not run, to be sent elsewhere. The schedule is a module of its own, apart from the servers.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -30,6 +30,7 @@
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.ingress.response_sender import ResponseSender
+from cassiashore._internal.ingress.stop_schedule import StopSchedule
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
@@ -96,7 +97,7 @@
         ``instance_count`` returns the number of instances that share limits, or 0 if unknown.
         """
         self.table: RouteTable | None = None
-        self.refuses_new_requests = False
+        self.stop_schedule: StopSchedule | None = None
         self.requests = 0
         self._header_names = header_names
         self._registry = registry
@@ -142,7 +143,9 @@
             pause = UNREADABLE_RETRY_SECONDS
             self._response_sender.refuse(request, responder, failure, pause, version=table.version)
             return
-        if self.refuses_new_requests:
+        deadline = self._deadline_of(request, route)
+        stop = self.stop_schedule
+        if stop is not None and not stop.takes(time.monotonic(), deadline):
             failure = Failure.not_run(Reason.STOPPING, "this instance is stopping")
             self._response_sender.refuse(request, responder, failure, 0.0, version=table.version)
             return
@@ -152,7 +155,7 @@
         outgoing = await self._read_request(request, responder, route)
         if outgoing is None:
             return
-        call = self._build_call(request, route, table.version, outgoing)
+        call = self._build_call(request, route, table.version, outgoing, deadline)
         if self._poison.is_poisonous(call.fingerprint):
             failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
             self._response_sender.refuse(request, responder, failure, version=table.version)
@@ -211,13 +214,22 @@
             not request.body.is_complete,
         )
 
-    def _build_call(
-        self, request: IngressRequest, route: Route, version: int, outgoing: OutgoingRequest
-    ) -> Call:
+    def _deadline_of(self, request: IngressRequest, route: Route) -> float:
+        """Return when the caller or the operator stops waiting, by the monotonic clock."""
         timeout_seconds = route.timeout
         given = request.header(self._header_names.deadline_ms)
         if given is not None and given.isdigit() and len(given) <= MAX_DEADLINE_DIGITS:
-            timeout_seconds = int(given) / 1000
+            timeout_seconds = min(route.timeout, int(given) / 1000)
+        return request.received_at + timeout_seconds
+
+    def _build_call(
+        self,
+        request: IngressRequest,
+        route: Route,
+        version: int,
+        outgoing: OutgoingRequest,
+        deadline: float,
+    ) -> Call:
         key = (
             cookie_of(request.headers, self._header_names.affinity_cookie)
             if route.uses_affinity
@@ -228,7 +240,7 @@
             route,
             self._split_chooser.choose(route),
             key or outgoing.request_id.decode("latin-1"),
-            request.received_at + min(timeout_seconds, route.timeout),
+            deadline,
             version,
             has_object=bool(key),
         )
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -15,6 +15,7 @@
 from cassiashore._internal.ingress.forwarder import Forwarder
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
+from cassiashore._internal.ingress.stop_schedule import NOTICE_SECONDS, REFUSE_SHARE, StopSchedule
 from cassiashore._internal.mirror.distance_probe import DistanceProbe
 from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.follower import StoreFollower
@@ -62,10 +63,6 @@
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_INTERVAL_SECONDS = 5.0  # half of the idle time after which targets close connections
 INSTANCE_POLL_SECONDS = 0.5  # a fifth of the time after which an instance uses parts of limits
-# Share of the grace period after which requests are refused: later ones could be interrupted.
-REFUSE_REQUESTS_AFTER_SHARE = 0.45
-STOP_BY_SHARE = 0.93  # of the grace period, so that the process exits before it is killed
-LEAVE_NOTICE_SECONDS = 2.0  # callers and the platform notice a leaving instance within this time
 STOP_POLL_SECONDS = 0.05  # a hundredth of the grace period, so that polling wastes little of it
 CONFIGURATION_WAIT_SECONDS = 1.5  # at start, before callers are refused for lack of one
 CONFIGURATION_POLL_SECONDS = 0.01  # the first copy arrives within some tens of milliseconds
@@ -269,20 +266,20 @@
         """Stop in two stages within the grace period.
 
         First the instance withdraws its registration and reports that it is not ready, but still
-        serves requests. Then it refuses new requests and waits for those in flight.
+        serves requests. Then it refuses new requests (see ``StopSchedule``) and waits for those in
+        flight.
         """
         grace = self.settings.terms.bounds.grace_s
-        started = time.monotonic()
+        stop = StopSchedule(time.monotonic(), grace)
+        self.forwarder.stop_schedule = stop
         self._is_stopping = True
         self.shared.is_leaving = True
         self.front.is_draining = True
         logger.info("instance %s stops within %g s", self.own.identity.instance, grace)
         self._withdraw_task = asyncio.create_task(self._withdraw())
-        await asyncio.sleep(min(LEAVE_NOTICE_SECONDS, grace * REFUSE_REQUESTS_AFTER_SHARE))
-        while time.monotonic() - started < grace * STOP_BY_SHARE:
-            elapsed = time.monotonic() - started
-            if elapsed >= grace * REFUSE_REQUESTS_AFTER_SHARE:
-                self.forwarder.refuses_new_requests = True
+        await asyncio.sleep(min(NOTICE_SECONDS, grace * REFUSE_SHARE))
+        while time.monotonic() < stop.ends_at:
+            if stop.refuses_all(time.monotonic()):
                 self.front.stop_listening()
                 if self.front.in_flight == 0:
                     break
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
 import uvloop
 
+from cassiashore._internal.ingress.stop_schedule import NOTICE_SECONDS, StopSchedule
 from cassiashore._internal.steering.placement import RequestProfile
 from cassiashore._internal.steering.routes import (
     IngressLimits,
@@ -644,3 +646,38 @@
         assert pool.idle_seconds < before
 
     run(test)
+
+
+@pytest.mark.parametrize("grace", [2.0, 6.0, 10.0, 30.0])
+@pytest.mark.parametrize("timeout", [0.4, 3.0, 12.0, 15.0])
+def test_a_request_taken_late_in_a_stop_ends_before_the_process(
+    grace: float, timeout: float
+) -> None:
+    stop = StopSchedule(started_at=100.0, grace=grace)
+    taken = []
+    for step in range(int(grace * 10)):
+        now = 100.0 + step / 10
+        if stop.takes(now, now + timeout):
+            taken.append(now)
+            assert now - 100.0 < NOTICE_SECONDS or now + timeout <= stop.ends_at
+    assert taken[0] == 100.0
+    assert taken[-1] - 100.0 <= grace * 0.5
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_a_stopping_instance_refuses_what_it_could_not_finish(kind: RequestKind) -> None:
+    """Ten seconds of grace, three of which have passed; the process ends 6.3 s from now."""
+
+    async def test() -> None:
+        ingress = await start_ingress(table(route(kind=kind, timeout=12.0)))
+        (target,) = await start_targets(ingress, respond)
+        ingress.forwarder.stop_schedule = StopSchedule(time.monotonic() - 3.0, grace=10.0)
+        client = await ingress.open()
+        client.send(request(request_id="long"))
+        status, headers, _ = await client.receive()
+        assert (status, float(headers["retry-after"])) == (503, 0.0)
+        client.send(request(request_id="short", extra="X-Cassiashore-Deadline-Ms: 1000\r\n"))
+        assert (await client.receive())[0] == 200
+        assert [header_of(h, b"x-cassiashore-request-id") for h in target.heads] == [b"short"]
+
+    run(test)
