Count another leader's decision like an own one

Change: an instance decides no sooner than an interval after a decision that it did not publish itself. A second test shows that parts of shared limits stay in use through a store outage.

--- a/src/cassiashore/_internal/mirror/shared_state.py
+++ b/src/cassiashore/_internal/mirror/shared_state.py
@@ -64,6 +64,8 @@
         self._poison = poison
         self._decisions = decisions
         self._crashed = asyncio.Event()
+        self._published_balance = b""
+        self._other_decision_at = float("-inf")
         mirror.listen(INSTANCE_PREFIX, instances.apply_registration)
         mirror.listen(LOAD_PREFIX, instances.apply_load)
         mirror.listen(BALANCE_PREFIX, self._balance_changed)
@@ -113,11 +115,21 @@
         while True:
             await asyncio.sleep(DECISION_INTERVAL_SECONDS)
             decided = self._decide()
-            if decided and self._instances.is_region_leader() and not self.is_leaving:
+            if decided and self.may_decide(time.monotonic()):
                 table = self._forwarder.table
                 services = table.rule_by_service if table is not None else decided
                 await self.publish_balance(self._balance.merged_decisions(decided, services))
 
+    def may_decide(self, now: float) -> bool:
+        """Return whether this instance may move keys of its region now.
+
+        Instances with different lists may both be the leader. So the decision of another one counts
+        like an own one: together they move one step in each interval.
+        """
+        if self.is_leaving or not self._instances.is_region_leader():
+            return False
+        return now - self._other_decision_at >= DECISION_INTERVAL_SECONDS
+
     def _decide(self) -> dict[str, float]:
         """Return the new shares of the services whose share should change."""
         now = time.monotonic()
@@ -141,6 +153,7 @@
         current = self._mirror.item_by_key.get(key)
         revision = current.revision if current is not None else 0
         value = msgspec.msgpack.encode(share_by_service)
+        self._published_balance = value
         outcome = await self._store.commit({key: revision}, [Write(key, value, NO_LEASE)])
         self._decisions.write(
             "balance",
@@ -164,6 +177,8 @@
     def _balance_changed(self, region: str, value: bytes | None) -> None:
         if value is None or region != self._instances.own.region:
             return
+        if value != self._published_balance:
+            self._other_decision_at = time.monotonic()
         try:
             self._balance.apply_decisions(msgspec.msgpack.decode(value, type=dict[str, float]))
         except msgspec.DecodeError as error:
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -15,6 +16,8 @@
 from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.steering.balance import DECISION_INTERVAL_SECONDS
+from cassiashore._internal.steering.senders import MAX_ISOLATION_SECONDS
 from cassiashore._internal.store.client import StoreFault
 from cassiashore.platform.node import PlatformNode
 from cassiashore.platform.standin import StandinStore
@@ -547,3 +550,40 @@
             assert not node._make_budget().try_retry()
 
     run(test)
+
+
+def test_instances_keep_their_parts_of_shared_limits_in_a_store_outage(tmp_path: Path) -> None:
+    """No list changes in an outage, so all parts still add up, for longer than a cut is borne."""
+
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        first = settings(address, "front-1")
+        second = settings(address, "front-2", first["network"]["seeds"])
+        async with running_node(tmp_path, first) as one, running_node(tmp_path, second) as two:
+            nodes = (one, two)
+            await wait_until(lambda: all(node.recent.count() == 2 for node in nodes))
+            store.faults.is_down = True
+            await wait_until(lambda: all(node.follower.is_failing for node in nodes))
+            for _ in range(int((MAX_ISOLATION_SECONDS + 1) / 0.1)):
+                await asyncio.sleep(0.1)
+                assert [node.recent.count() for node in nodes] == [2, 2]
+
+    run(test)
+
+
+def test_two_leaders_of_a_region_move_one_step_in_an_interval(tmp_path: Path) -> None:
+    async def test() -> None:
+        store, address, _ = await filled_store()
+        async with running_node(tmp_path, settings(address)) as node:
+            key = "cassiashore/balance/erie"
+            await wait_until(lambda: node.shared.may_decide(time.monotonic()))
+            await node.shared.publish_balance({"stock": 0.7})
+            await wait_until(lambda: node.balance.share("stock") == 0.7)
+            assert node.shared.may_decide(time.monotonic())
+            store.put(key, msgspec.msgpack.encode({"stock": 0.6}))
+            await wait_until(lambda: node.balance.share("stock") == 0.6)
+            applied_at = node.shared._other_decision_at
+            assert not node.shared.may_decide(applied_at + DECISION_INTERVAL_SECONDS / 2)
+            assert node.shared.may_decide(applied_at + DECISION_INTERVAL_SECONDS)
+
+    run(test)
