--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -47,6 +47,8 @@
     ) -> Result[HttpConnection, str]:
         """Return an idle connection that is still open, or a new one.
 
+        If the limit is reached and all idle connections are too old, a new one replaces the oldest.
+
         ``max_idle`` lowers the idle time limit of the pool for this call, in seconds;
         ``connect_timeout`` replaces the timeout of the pool.
         """
@@ -58,6 +60,8 @@
             if connection.usable and allowed < self.idle_seconds:
                 break
             self.discard(self._idle.pop())
+        if self.open >= self.limit and self._idle:
+            self.discard(self._idle.popleft())
         if self.open >= self.limit:
             return Err(f"{self.address} already has {self.limit} connections")
         self.open += 1
--- a/tests/unit/test_connection_caps.py
+++ b/tests/unit/test_connection_caps.py
@@ -9,6 +9,8 @@
 import pytest
 import uvloop
 
+from cassiashore._internal.models.address import Address
+from cassiashore._internal.net.pool import ConnectionPool
 from cassiashore._internal.steering.routes import (
     IngressLimits,
     RequestKind,
@@ -17,7 +19,7 @@
 )
 from cassiashore._internal.steering.senders import connection_limit
 from tests.lib.ingress import Ingress, request, start_ingresses
-from tests.lib.steering_builders import FakeTarget, build_response, report, route
+from tests.lib.steering_builders import Clock, FakeTarget, build_response, report, route
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -70,3 +72,27 @@
         )
 
     run(test)
+
+
+def test_a_connection_that_was_idle_for_too_long_makes_room_for_a_new_one() -> None:
+    """A non-idempotent request may not use the idle connections, which are all that is allowed."""
+
+    async def test() -> None:
+        async def responds(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            writer.write(build_response(head))
+
+        clock = Clock()
+        target = await FakeTarget(responds).start()
+        pool = ConnectionPool(Address.parse(target.address), 2, monotonic=clock)
+        connections = [(await pool.acquire()).unwrap() for _ in range(2)]
+        for connection in connections:
+            connection.start_exchange(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await connection.read_all(100)
+            pool.release(connection)
+        clock.now += 3.0
+        assert (await pool.acquire(max_idle=1.0)).is_ok()
+        assert pool.open == 2
+
+    run(test)
