Take no rate limit from an answer that may belong to an earlier request, and bound its log lines

An answer without a request id on a reused connection may be an earlier one written again. Lines about values that are no number come with each answer, so they count as lines about requests now.

--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 import time
 from collections.abc import Callable
@@ -52,8 +51,6 @@
 from cassiashore._internal.steering.senders import connection_limit
 from cassiashore._internal.steering.target_limits import TargetRateLimits
 
-logger = logging.getLogger(__name__)
-
 # Bodies up to this size are buffered completely, and can be sent again.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 MAX_DEADLINE_DIGITS = 9  # of a deadline in milliseconds: eleven days
@@ -444,7 +441,7 @@
         execution_status = classify_response(
             response.head, self._header_names, is_identified=response.is_identified
         )
-        if execution_status is not ExecutionStatus.OTHER_TARGET:
+        if response.is_identified and execution_status is not ExecutionStatus.OTHER_TARGET:
             self._record_rate_limit(target, response)
         step.append(response.head.status)
         if response.is_unframed:
@@ -539,7 +536,9 @@
         """Record the rate limit that a response names, and log when it changes."""
         named = named_rate_limit(response.head, self._header_names)
         if isinstance(named, Err):
-            logger.info('rate limit of target "%s" ignored: %s', target.target_id, named.err_value)
+            self._decisions.write_request(
+                "target-limit-ignored", target=target.target_id, why=named.err_value
+            )
             return
         limit = named.ok_value
         rate = limit.rate if limit is not None else None
