--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -25,17 +25,16 @@
 from cassiashore._internal.ingress.body import BodyError, BodyFault
 from cassiashore._internal.ingress.call import Call, Delivery, cookie_of, host_of
 from cassiashore._internal.ingress.header_names import HeaderNames
-from cassiashore._internal.ingress.rate_limit_header import named_rate_limit
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.ingress.response_sender import ResponseSender
 from cassiashore._internal.ingress.stop_schedule import StopSchedule
+from cassiashore._internal.ingress.target_admission import TargetAdmission
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.proxy.headers import end_to_end
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
-from cassiashore._internal.steering.cold import ColdAdmission
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.overload import (
     MIN_RETRY_SECONDS,
@@ -47,9 +46,13 @@
 from cassiashore._internal.steering.placement import Estimate, Placement
 from cassiashore._internal.steering.registry import RegisteredTarget, TargetRegistry
 from cassiashore._internal.steering.retry_budget import WindowedRetryBudget
-from cassiashore._internal.steering.routes import Route, RouteTable, SplitChooser, UnreadableRoute
-from cassiashore._internal.steering.senders import connection_limit
-from cassiashore._internal.steering.target_limits import TargetRateLimits
+from cassiashore._internal.steering.routes import (
+    Route,
+    RouteTable,
+    ServiceRule,
+    SplitChooser,
+    UnreadableRoute,
+)
 
 # Bodies up to this size are buffered completely, and can be sent again.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
@@ -80,19 +83,14 @@
         registry: TargetRegistry,
         placement: Placement,
         distances: RegionDistances,
-        cold: ColdAdmission,
-        target_limits: TargetRateLimits,
+        admission: TargetAdmission,
         poison: PoisonRegistry,
         make_budget: Callable[[], WindowedRetryBudget],
-        instance_count: Callable[[], int],
         decisions: DecisionLog,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
-        """Create a forwarder; ``table`` is None until a configuration is applied.
-
-        ``instance_count`` returns the number of instances that share limits, or 0 if unknown.
-        """
+        """Create a forwarder; ``table`` is None until a configuration is applied."""
         self.table: RouteTable | None = None
         self.stop_schedule: StopSchedule | None = None
         self.requests = 0
@@ -100,11 +98,9 @@
         self._registry = registry
         self._placement = placement
         self._distances = distances
-        self._cold = cold
-        self._target_limits = target_limits
+        self._admission = admission
         self._poison = poison
         self._make_budget = make_budget
-        self._instance_count = instance_count
         self._decisions = decisions
         self._metrics = metrics
         self._response_sender = ResponseSender(header_names, decisions, metrics)
@@ -381,49 +377,34 @@
                 call.retry_after = decision.retry_after
                 call.steps.append(["turned-away", decision.reason, round(best.seconds, 3)])
                 return Err(Failure.not_run(Reason.TURNED_AWAY, decision.reason))
-            if self._is_admitted(best.target, now, limited):
+            if self._admission.try_admit(best.target, self._rule_of(best.target), limited):
                 self._log_limited(call, limited)
                 call.steps.append([best.target.target_id, decision.reason, round(best.seconds, 3)])
                 return Ok(best)
             excluded_ids.add(best.target.target_id)
         self._log_limited(call, limited)
         if limited:
-            call.retry_after = max(MIN_RETRY_SECONDS, self._target_limits.retry_after(limited))
+            call.retry_after = max(
+                MIN_RETRY_SECONDS, self._admission.rate_limits.retry_after(limited)
+            )
         else:
             call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
         return Err(Failure.not_run(Reason.NO_TARGET, f'no target of "{call.service}" takes work'))
 
-    def _is_admitted(
-        self, target: RegisteredTarget, now: float, limited: list[RegisteredTarget]
-    ) -> bool:
-        """Count a request if the limits of a target allow it; else return False.
-
-        A target whose named rate limit is used up is appended to ``limited``.
-        """
-        if target.is_cold(now) and not self._admits_cold(target):
-            return False
-        if self._target_limits.try_admit(target):
-            return True
-        limited.append(target)
-        return False
-
     def _log_limited(self, call: Call, limited: list[RegisteredTarget]) -> None:
         if limited:
             call.steps.append([f"{len(limited)} targets", "rate-limit"])
 
-    def _admits_cold(self, target: RegisteredTarget) -> bool:
+    def _rule_of(self, target: RegisteredTarget) -> ServiceRule | None:
         assert self.table is not None
-        rule = self.table.rule_by_service.get(target.report.service)
-        rate = rule.cold_rate if rule is not None else 0.0
-        report = target.report
-        return self._cold.try_admit(report.target_id, report.failure_domain, target.region, rate)
+        return self.table.rule_by_service.get(target.report.service)
 
     async def _run_attempt(
         self, call: Call, outgoing: OutgoingRequest, chosen: Estimate, step: list[object]
     ) -> Result[Delivery, Failure]:
         """Send the request once, and record the load and health of the target."""
         target = chosen.target
-        self._limit_connections(target)
+        self._admission.limit_connections(target, self._rule_of(target))
         target.load.in_flight += 1
         started = time.monotonic()
         round_trip = self._distances.round_trip(target.region)
@@ -442,7 +423,7 @@
             response.head, self._header_names, is_identified=response.is_identified
         )
         if response.is_identified and execution_status is not ExecutionStatus.OTHER_TARGET:
-            self._record_rate_limit(target, response)
+            self._admission.record_rate_limit(target, response)
         step.append(response.head.status)
         if response.is_unframed:
             step.append("unframed")
@@ -455,13 +436,6 @@
             target.pool.discard(response.open_connection)
         return Err(self._inconclusive_failure(call, target, execution_status, response))
 
-    def _limit_connections(self, target: RegisteredTarget) -> None:
-        """Limit the connections of this instance to its part of what the target accepts."""
-        rule = self.table.rule_by_service.get(target.report.service) if self.table else None
-        if rule is not None and rule.max_connections > 0:
-            count = self._instance_count()
-            target.pool.limit = connection_limit(rule.max_connections, count)
-
     def _inconclusive_failure(
         self,
         call: Call,
@@ -532,29 +506,6 @@
         if len(parts) == 3 and parts[0].isdigit() and parts[1].isdigit():
             target.load.record_report(int(parts[0]) + int(parts[1]), time.monotonic())
 
-    def _record_rate_limit(self, target: RegisteredTarget, response: TargetResponse) -> None:
-        """Record the rate limit that a response names, and log when it changes."""
-        named = named_rate_limit(response.head, self._header_names)
-        if isinstance(named, Err):
-            self._decisions.write_request(
-                "target-limit-ignored", target=target.target_id, why=named.err_value
-            )
-            return
-        limit = named.ok_value
-        rate = limit.rate if limit is not None else None
-        if rate == target.rate_limit:
-            return
-        self._decisions.write(
-            "target-limit",
-            target=target.target_id,
-            service=target.report.service,
-            failure_domain=target.report.failure_domain,
-            requests_per_s=rate,
-            before=target.rate_limit,
-            header=limit.header if limit is not None else None,
-        )
-        target.rate_limit = rate
-
     def _retry_budget(self, service: str) -> WindowedRetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -16,6 +16,7 @@
 from cassiashore._internal.ingress.request import IngressRequest
 from cassiashore._internal.ingress.responder import Responder
 from cassiashore._internal.ingress.stop_schedule import NOTICE_SECONDS, REFUSE_SHARE, StopSchedule
+from cassiashore._internal.ingress.target_admission import TargetAdmission
 from cassiashore._internal.mirror.distance_probe import DistanceProbe
 from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.follower import StoreFollower
@@ -131,16 +132,17 @@
             bounds.cold_overshoot,
             bounds.cold_slack,
         )
+        admission = TargetAdmission(
+            self.cold, self.target_limits, self.recent.count, EDGE_HEADERS, self._decisions
+        )
         self.forwarder = Forwarder(
             EDGE_HEADERS,
             self.registry,
             self.placement,
             self.distances,
-            self.cold,
-            self.target_limits,
+            admission,
             self.poison,
             self._make_budget,
-            self.recent.count,
             self._decisions,
             self._metrics,
             self._rng,
--- a/tests/lib/ingress.py
+++ b/tests/lib/ingress.py
@@ -9,6 +9,7 @@
 
 from cassiashore._internal.ingress.connection import IngressServer
 from cassiashore._internal.ingress.forwarder import Forwarder
+from cassiashore._internal.ingress.target_admission import TargetAdmission
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.requests.poison import PoisonRegistry
@@ -121,17 +122,19 @@
     rng = random.Random(name)
     cold = ColdAdmission(name, lambda: instances, monotonic, overshoot=1.5, slack=5)
     target_limits = TargetRateLimits(name, lambda: instances, monotonic, rng)
+    decisions = DecisionLog()
+    admission = TargetAdmission(
+        cold, target_limits, lambda: len(instances), EDGE_HEADERS, decisions
+    )
     forwarder = Forwarder(
         EDGE_HEADERS,
         targets,
         placement,
         distances,
-        cold,
-        target_limits,
+        admission,
         poison,
         lambda: WindowedRetryBudget(0.2, 60, 10.0, lambda: 1, monotonic),
-        lambda: len(instances),
-        DecisionLog(),
+        decisions,
         Metrics(),
         rng,
     )
