--- a/src/cassiashore/_internal/steering/target_limits.py
+++ b/src/cassiashore/_internal/steering/target_limits.py
@@ -31,7 +31,11 @@
 
 @dataclass(slots=True)
 class _Sending:
-    """What this instance may send to a target; one of both is set."""
+    """What this instance may send to a target, at its ``rate`` and for these ``instances``.
+
+    A sender has a bucket. Any other instance has none and sends one check in each interval, which
+    is infinite while it may use no part of the limit.
+    """
 
     rate: float
     instances: Sequence[InstanceInfo]
