--- a/review/common/place.py
+++ b/review/common/place.py
@@ -51,7 +51,9 @@
     "ttl_max_s": 5,
     "max-shift": 0.15,
 }
-ZONES = {"erie-a": "erie", "huron-a": "huron", "superior-a": "superior"}
+ZONES = {
+    f"{region}-{letter}": region for region in ("erie", "huron", "superior") for letter in "ab"
+}
 ROUTES: dict[str, dict[str, Any]] = {
     "reads": {"path-prefix": "/read/", "kind": "safe"},
     "orders": {"path-prefix": "/order/", "kind": "unsafe"},
@@ -130,7 +132,9 @@
 
     upstream_id: str
     address: str
+    zone: str
     process: asyncio.subprocess.Process
+    is_killed: bool = False
     events: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -241,14 +245,19 @@
             stdout=subprocess.PIPE,
             limit=1 << 20,
         )
-        upstream = RunningUpstream(upstream_id, address, process)
+        upstream = RunningUpstream(upstream_id, address, zone, process)
         self.upstreams.append(upstream)
         self.spawn(self._follow(upstream))
         await self.wait_until(lambda: bool(upstream.events), 10, "an upstream did not start")
         entry = {
             "address": address,
             "born": int(time.time() * 1000),
-            "info": {"service": "stock", "version": "v1", "zone": zone, "slots": 6},
+            "info": {
+                "service": "stock",
+                "version": "v1",
+                "zone": zone,
+                "slots": settings.get("slots", 6),
+            },
             "status": {"state": "ready", "seq": 1, "cold-left-s": cold_seconds},
         }
         self.store.put_json(f"servers/{upstream_id}", entry)
@@ -265,6 +274,7 @@
     def crash_upstream(self, upstream: RunningUpstream) -> None:
         """Kill an upstream; its entry goes after three heartbeat intervals of silence."""
         upstream.process.send_signal(signal.SIGKILL)
+        upstream.is_killed = True
         self.note(f"upstream {upstream.upstream_id} is killed (SIGKILL)")
         self.spawn(self._expire_entry(upstream))
 
--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -84,7 +84,7 @@
         size = _SIZE.search(path)
         body = b"x" * int(size[1]) if size else b"ok " + path.encode()
         self._respond(writer, 200, request_id, body, "X-Cassiashore-Response-Stamp: " + request_id)
-        _report("answers", request=request_id, bytes=len(body), id=self.upstream_id)
+        _report("answers", request=request_id, path=path, bytes=len(body), id=self.upstream_id)
         await writer.drain()
 
     def _respond(
