--- a/review/common/place.py
+++ b/review/common/place.py
@@ -178,6 +178,11 @@
         self._hosts = 0
         self._control_addresses: list[str] = []
 
+    @property
+    def folder(self) -> str:
+        """Return the temporary folder of the run."""
+        return self._folder.name
+
     def note(self, text: str) -> None:
         """Write a line with the time since the start of the run to the record."""
         self._record.write(f"{time.monotonic() - self.started_at:8.3f}  {text}\n")
--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -1,7 +1,8 @@
 """Stand-in of one upstream, as a process of its own: ``python upstream.py SETTINGS_JSON``.
 
 It prints a JSON line for each request that arrives, runs or ends. A request path decides the work:
-``.../work-MS/size-BYTES/...`` takes MS milliseconds and returns BYTES bytes.
+``.../work-MS/size-BYTES/...`` takes MS milliseconds and returns BYTES bytes. The first upstream that
+runs a request for ``.../lose-answer/...`` never answers it, if the settings name a folder for that.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import re
 import sys
 import time
+from pathlib import Path
 
 _WORK = re.compile(r"/work-(\d+)/")
 _SIZE = re.compile(r"/size-(\d+)/")
@@ -31,6 +33,7 @@
         self.slots = int(str(settings.get("slots", 6)))
         self.queue = int(str(settings.get("queue", 18)))
         self.default_work_ms = int(str(settings.get("work_ms", 50)))
+        self.lost_folder = str(settings.get("lost_folder", ""))
         self.running = 0
         self.waiting = 0
         self.free_slots = asyncio.Semaphore(self.slots)
@@ -58,7 +61,7 @@
         lines = head.decode("latin-1").split("\r\n")
         method, path, _ = lines[0].split(" ", 2)
         headers = {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:] if line)}
-        await reader.readexactly(int(headers.get("content-length", "0")))
+        content = await reader.readexactly(int(headers.get("content-length", "0")))
         request_id = headers.get("x-cassiashore-request-id", "")
         if path == "/health":
             self._respond(writer, 200, "", b"ok", f"X-Cassiashore-Instance-Id: {self.upstream_id}")
@@ -75,18 +78,35 @@
         async with self.free_slots:
             self.waiting -= 1
             self.running += 1
-            _report("runs", request=request_id, method=method, path=path, id=self.upstream_id)
+            _report(
+                "runs",
+                request=request_id,
+                method=method,
+                path=path,
+                content=content.decode("latin-1"),
+                id=self.upstream_id,
+            )
             try:
                 work = _WORK.search(path)
                 await asyncio.sleep(int(work[1] if work else self.default_work_ms) / 1000)
             finally:
                 self.running -= 1
+        if self.lost_folder and "/lose-answer/" in path and self._is_first(request_id):
+            _report("loses", request=request_id, path=path, id=self.upstream_id)
+            return
         size = _SIZE.search(path)
         body = b"x" * int(size[1]) if size else b"ok " + path.encode()
         self._respond(writer, 200, request_id, body, "X-Cassiashore-Response-Stamp: " + request_id)
         _report("answers", request=request_id, path=path, bytes=len(body), id=self.upstream_id)
         await writer.drain()
 
+    def _is_first(self, request_id: str) -> bool:
+        try:
+            (Path(self.lost_folder) / request_id).touch(exist_ok=False)
+        except FileExistsError:
+            return False
+        return True
+
     def _respond(
         self, writer: asyncio.StreamWriter, status: int, request_id: str, body: bytes, extra: str
     ) -> None:
