--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -1,8 +1,8 @@
 """Stand-in of one upstream, as a process of its own: ``python upstream.py SETTINGS_JSON``.
 
 It prints a JSON line for each request that arrives, runs or ends. A request path decides the work:
-``.../work-MS/size-BYTES/...`` takes MS milliseconds and returns BYTES bytes. The first upstream that
-runs a request for ``.../lose-answer/...`` never answers it, if the settings name a folder for that.
+``.../work-MS/size-BYTES/...`` takes MS milliseconds and returns BYTES bytes. If the settings name a
+folder for it, the first upstream that runs a request for ``.../lose-answer/...`` never answers.
 """
 
 from __future__ import annotations
