Count losses of a request that follow each other, not lost connections

Cause: the search for requests that crash targets added 1 for each lost connection. One crash with three equal reads in progress reached the limit, and since nothing was sent any more, no response could clear it.

Change: an attempt that is lost counts one more than the losses known when it began, as in a Lamport clock, so attempts that ran side by side count once at one instance and over all. A response begins a new epoch everywhere. After a suspension of 60 s, doubling to 600 s, one request is tried. The loss of a connection that was idle counts only if the target refuses a new one. Cut-off and malformed responses and bodies that the caller does not finish do not count; the latter no longer count against the health of the target either. The daemon shares this. Decision lines "poison" tell when a request is suspended or cleared.

Ruled out: reports of other instances (the regression test has one instance) and the retry budget (untouched in it).

Why it works: every loss in one disruption began with the same count, so it raises the count by one however many connections it cuts.

--- a/src/cassiashore/_internal/entry/cluster.py
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -228,8 +228,8 @@
         self.gossip.send_digests()
 
     def broadcast_crash_report(self) -> None:
-        """Send this instance's crash counts to all linked instances."""
-        report = CrashReport(self.own.incarnation, self._poison.own_crash_counts())
+        """Send what this instance knows of requests that crash targets to all linked instances."""
+        report = CrashReport(self.own.incarnation, {}, self._poison.reports())
         self.mesh.broadcast(self.mesh.link_by_incarnation.values(), report)
 
     def reset_after_pause(self, now: float) -> None:
@@ -356,7 +356,7 @@
     def _on_crash_report(self, link: PeerLink, message: CrashReport) -> None:
         if message.origin == self.own.incarnation:
             return
-        if self._poison.merge_report(message.origin, message.count_by_fingerprint):
+        if self._poison.merge_reports(message.report_by_fingerprint):
             others = [x for x in self.mesh.link_by_incarnation.values() if x is not link]
             self.mesh.broadcast(others, message)
 
--- a/src/cassiashore/_internal/entry/node.py
+++ b/src/cassiashore/_internal/entry/node.py
@@ -177,7 +177,7 @@
 
     def _connect_listeners(self) -> None:
         self.guard.on_pause(self._handle_pause)
-        self.poison.on_crash = self.cluster.broadcast_crash_report
+        self.poison.on_change = self.cluster.broadcast_crash_report
         self.versioned_catalogue.subscribe(self._apply_catalogue)
 
     # Life cycle.
--- a/src/cassiashore/_internal/ingress/attempt.py
+++ b/src/cassiashore/_internal/ingress/attempt.py
@@ -13,7 +13,7 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.ingress.body import BodyError, RequestBody
 from cassiashore._internal.ingress.header_names import HeaderNames
-from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.models.outcome import Failure, Reason
 from cassiashore._internal.net.http_client import (
     Headers,
     HttpConnection,
@@ -129,7 +129,7 @@
     except (ConnectionLostError, BodyError) as error:
         if connection is not None:
             _shorten_idle_time(pool, connection, started)
-        return Err(_connection_failure(connection, str(error)))
+        return Err(_connection_failure(outgoing, connection, str(error)))
     finally:
         if connection is not None:
             _return_connection(pool, connection, response)
@@ -244,10 +244,25 @@
     return headers
 
 
-def _connection_failure(connection: HttpConnection | None, detail: str) -> Failure:
+def _connection_failure(
+    outgoing: OutgoingRequest, connection: HttpConnection | None, detail: str
+) -> Failure:
     if connection is None or connection.bytes_sent == 0:
         return Failure.not_run(Reason.TARGET_UNREACHABLE, detail)
-    return Failure(Outcome.UNKNOWN, Reason.TARGET_FAILED, detail)
+    if outgoing.body.fault is not None:
+        return Failure.unknown(Reason.BODY_CUT_OFF, outgoing.body.fault.value)
+    return Failure.unknown(_loss_reason(connection), detail)
+
+
+def _loss_reason(connection: HttpConnection) -> Reason:
+    """Return why an exchange failed after the request was sent.
+
+    A target may close a connection while it is idle, so the loss of a reused one does not show that
+    the target failed.
+    """
+    if not connection.was_lost or connection.has_head:
+        return Reason.BAD_ANSWER
+    return Reason.CONNECTION_DROPPED if connection.was_idle else Reason.TARGET_FAILED
 
 
 def _apply_keep_alive(pool: ConnectionPool, head: ResponseHead) -> None:
--- a/src/cassiashore/_internal/ingress/body.py
+++ b/src/cassiashore/_internal/ingress/body.py
@@ -32,7 +32,8 @@
 class RequestBody:
     """Chunks of a body, with backpressure towards the caller's connection.
 
-    First the prefix is read, then the remaining chunks, each of them once.
+    First the prefix is read, then the remaining chunks, each of them once. ``fault`` is set when
+    the rest cannot be received.
     """
 
     def __init__(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
@@ -45,7 +46,7 @@
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
         self._is_paused = False
-        self._fault: BodyFault | None = None
+        self.fault: BodyFault | None = None
         self._waiter: asyncio.Future[None] | None = None
 
     def feed(self, data: bytes) -> None:
@@ -65,8 +66,8 @@
 
     def fail(self, fault: BodyFault) -> None:
         """Mark the body as failed unless it is complete."""
-        if not self.is_complete and self._fault is None:
-            self._fault = fault
+        if not self.is_complete and self.fault is None:
+            self.fault = fault
             self._wake()
 
     async def prefix(self, limit: int) -> bytes:
@@ -103,12 +104,12 @@
             self._resume()
 
     async def _wait(self) -> None:
-        if self._fault is not None:
-            raise BodyError(self._fault)
+        if self.fault is not None:
+            raise BodyError(self.fault)
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
-        if self._fault is not None and not self.is_complete:
-            raise BodyError(self._fault)
+        if self.fault is not None and not self.is_complete:
+            raise BodyError(self.fault)
 
     def _wake(self) -> None:
         waiter, self._waiter = self._waiter, None
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -34,7 +34,7 @@
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.proxy.headers import end_to_end
-from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
+from cassiashore._internal.requests.poison import LossCount, PoisonRegistry, fingerprint
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.overload import (
     MIN_RETRY_SECONDS,
@@ -71,7 +71,7 @@
     BodyFault.WITHOUT_CONTENT: Reason.MALFORMED,
 }
 _UNSENT_REASONS = frozenset({Reason.TARGET_UNREACHABLE, Reason.NO_CAPACITY})
-_CRASH_REASONS = frozenset({Reason.TARGET_FAILED})
+REFUSAL_CHECK_SECONDS = 1.0  # to connect to a target that may have crashed
 
 
 class Forwarder:
@@ -107,6 +107,7 @@
         self._rng = rng
         self._split_chooser = SplitChooser()
         self._budget_by_service: dict[str, WindowedRetryBudget] = {}
+        self._refusal_check_by_run: dict[str, asyncio.Task[bool]] = {}
         self._own_request_headers = frozenset(
             {header_names.deadline_ms, header_names.expect_target, b"content-length"}
         )
@@ -149,7 +150,7 @@
         if outgoing is None:
             return
         call = self._build_call(request, route, table.version, outgoing, deadline)
-        if self._poison.is_poisonous(call.fingerprint):
+        if not self._poison.try_admit(call.fingerprint):
             failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
             self._response_sender.refuse(request, responder, failure, version=table.version)
             return
@@ -407,6 +408,7 @@
         self._admission.limit_connections(target, self._rule_of(target))
         target.load.in_flight += 1
         started = time.monotonic()
+        losses_before = self._poison.loss_count(call.fingerprint)
         round_trip = self._distances.round_trip(target.region)
         try:
             outcome = await attempt(outgoing, target, self._header_names, call.deadline, round_trip)
@@ -415,7 +417,7 @@
         step.append(round(time.monotonic() - started, 4))
         if isinstance(outcome, Err):
             step.append(outcome.err_value.reason.value)
-            self._record_failure(call, chosen, outcome.err_value, time.monotonic() - started)
+            self._record_failure(call, chosen, outcome.err_value, started, losses_before)
             return outcome
         response = outcome.ok_value
         self._record_load(target, response)
@@ -456,24 +458,55 @@
         )
 
     def _record_failure(
-        self, call: Call, chosen: Estimate, failure: Failure, seconds: float
+        self,
+        call: Call,
+        chosen: Estimate,
+        failure: Failure,
+        started: float,
+        losses_before: LossCount,
     ) -> None:
+        """Update the state of the target and of the request.
+
+        ``started`` and ``losses_before`` are of the beginning of the attempt.
+        """
         target = chosen.target
         if failure.reason is Reason.DEADLINE:
             if failure.outcome is Outcome.UNKNOWN:
+                seconds = time.monotonic() - started
                 self._placement.record_timeout(chosen, call.profile, seconds)
             return
+        if failure.reason is Reason.BODY_CUT_OFF:
+            return
         if failure.reason in _UNSENT_REASONS:
             call.sends -= 1
             call.unreachable += 1
         if failure.reason is Reason.NO_CAPACITY:
             call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
             return
-        if failure.reason in _CRASH_REASONS and failure.outcome is Outcome.UNKNOWN:
-            self._poison.record_crash(call.fingerprint, target.target_id)
+        if failure.reason is Reason.TARGET_FAILED:
+            self._poison.record_loss(call.fingerprint, target.run, losses_before)
+        elif failure.reason is Reason.CONNECTION_DROPPED:
+            self._record_loss_if_refused(call.fingerprint, target, losses_before)
         if target.health.record_failure() or failure.reason is Reason.TARGET_UNREACHABLE:
             self._eject(target, failure.detail)
 
+    def _record_loss_if_refused(
+        self, fingerprint: int, target: RegisteredTarget, losses_before: LossCount
+    ) -> None:
+        """Record the loss of a reused connection, if the target also refuses a new one."""
+        run = target.run
+        check = self._refusal_check_by_run.get(run)
+        if check is None:
+            check = asyncio.create_task(target.pool.refuses_connections(REFUSAL_CHECK_SECONDS))
+            check.add_done_callback(lambda _: self._refusal_check_by_run.pop(run, None))
+            self._refusal_check_by_run[run] = check
+
+        def record(done: asyncio.Task[bool]) -> None:
+            if not done.cancelled() and done.result():
+                self._poison.record_loss(fingerprint, run, losses_before, was_idle=True)
+
+        check.add_done_callback(record)
+
     def _eject(self, target: RegisteredTarget, why: str) -> None:
         """Eject a target: send no requests to it for some time."""
         now = time.monotonic()
@@ -490,11 +523,13 @@
 
     def _record_response(self, call: Call, chosen: Estimate, response: TargetResponse) -> None:
         target = chosen.target
+        is_stamped = response.head.get(self._header_names.stamp) is not None
+        if is_stamped or response.head.status < SERVER_ERROR:
+            self._poison.record_response(call.fingerprint)
         if response.head.status >= SERVER_ERROR:
             if target.health.record_failure():
                 self._eject(target, f"status {response.head.status} again and again")
             return
-        self._poison.clear_crashes(call.fingerprint)
         target.health.record_success(response.seconds, time.monotonic())
         self._placement.record_response(chosen, call.profile, response.seconds)
 
--- a/src/cassiashore/_internal/mirror/shared_state.py
+++ b/src/cassiashore/_internal/mirror/shared_state.py
@@ -20,7 +20,7 @@
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.registration import Registration
 from cassiashore._internal.observability.logs import DecisionLog
-from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.requests.poison import CrashReports, PoisonRegistry
 from cassiashore._internal.steering.active_instances import load_to_publish
 from cassiashore._internal.steering.balance import DECISION_INTERVAL_SECONDS, RegionBalance
 from cassiashore._internal.steering.registry import TargetRegistry
@@ -31,9 +31,11 @@
 INSTANCE_PREFIX = "cassiashore/instances/"
 LOAD_PREFIX = "cassiashore/load/"
 BALANCE_PREFIX = "cassiashore/balance/"
-CRASH_PREFIX = "cassiashore/crashes/"
+CRASH_PREFIX = "cassiashore/losses/"
 LOAD_INTERVAL_SECONDS = 2.0  # about as long as callers cache a directory response
-# Each report is a write. A third of the time within which crashes must be contained.
+# Each report is a write. Most requests that a crash cut off are answered by another target within
+# the delay, and need no report. Together both are less than the time to contain crashes.
+CRASH_REPORT_DELAY_SECONDS = 0.5
 CRASH_REPORT_INTERVAL_SECONDS = 1.0
 
 
@@ -71,7 +73,7 @@
         mirror.listen(BALANCE_PREFIX, self._balance_changed)
         mirror.listen(CRASH_PREFIX, self._crashes_changed)
         instances.on_change = self._instance_changed
-        poison.on_crash = self._crashed.set
+        poison.on_change = self._crashed.set
 
     def coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that have to run for the lifetime of the instance."""
@@ -86,13 +88,17 @@
     # Publishing.
 
     async def _publish_crashes(self) -> None:
-        """Publish crash counts in groups, since a target that fails loses many connections."""
+        """Publish crash reports in groups, since a target that fails loses many connections."""
         key = CRASH_PREFIX + self._instances.own_incarnation
+        is_published = False
         while True:
             await self._crashed.wait()
+            await asyncio.sleep(CRASH_REPORT_DELAY_SECONDS)
             self._crashed.clear()
-            counts = self._poison.own_crash_counts()
-            self._registration.put(key, msgspec.msgpack.encode(counts) if counts else None)
+            reports = self._poison.reports()
+            if reports or is_published:
+                self._registration.put(key, msgspec.msgpack.encode(reports) if reports else None)
+                is_published = bool(reports)
             await asyncio.sleep(CRASH_REPORT_INTERVAL_SECONDS)
 
     async def _publish_load(self) -> None:
@@ -185,14 +191,11 @@
             logger.warning('balance of region "%s" ignored: %s', region, error)
 
     def _crashes_changed(self, incarnation: str, value: bytes | None) -> None:
-        if incarnation == self._instances.own_incarnation:
-            return
-        self._poison.discard_reports(incarnation)
-        if value is None:
+        if value is None or incarnation == self._instances.own_incarnation:
             return
         try:
-            counts = msgspec.msgpack.decode(value, type=dict[int, int])
+            reports = msgspec.msgpack.decode(value, type=CrashReports)
         except msgspec.DecodeError as error:
             logger.warning('crash report of "%s" ignored: %s', incarnation, error)
             return
-        self._poison.merge_report(incarnation, counts)
+        self._poison.merge_reports(reports)
--- a/src/cassiashore/_internal/models/outcome.py
+++ b/src/cassiashore/_internal/models/outcome.py
@@ -22,6 +22,8 @@
     TARGET_SHED = "target-shed"
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_FAILED = "target-failed"
+    CONNECTION_DROPPED = "connection-dropped"
+    BODY_CUT_OFF = "body-cut-off"
     DEADLINE = "deadline"
     PEER_UNREACHABLE = "peer-unreachable"
     PEER_FAILED = "peer-failed"
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -51,7 +51,10 @@
 
 
 class HttpConnection(asyncio.Protocol):
-    """A client connection to an HTTP/1.1 server."""
+    """A client connection to an HTTP/1.1 server.
+
+    ``was_lost`` is set if the server or the network ended it, not this side.
+    """
 
     def __init__(self) -> None:
         """Create a connection that is not open yet; use ``connect`` to open one."""
@@ -77,6 +80,8 @@
         self._has_trailing_bytes = False
         self._reuse_disabled = False
         self._error: str | None = None
+        self._is_closed_here = False
+        self.was_lost = False
         self.bytes_sent = 0
         self.exchanges = 0
         self.bytes_received = 0
@@ -122,6 +127,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake all waiters of this connection."""
+        self.was_lost = self._error is None and not self._is_closed_here
         self._fail("the connection closed" if exc is None else f"the connection failed: {exc}")
 
     def pause_writing(self) -> None:
@@ -223,6 +229,16 @@
         """Whether the head of the response was received."""
         return self._head_done
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether the connection is open and has not carried an exchange."""
+        return self.usable and self.exchanges == 0
+
+    @property
+    def was_idle(self) -> bool:
+        """Whether the connection was kept idle before its latest exchange."""
+        return self.idle_since > 0.0
+
     def disable_reuse(self) -> None:
         """Allow no further exchange, for example because the request was not sent completely."""
         self._reuse_disabled = True
@@ -315,6 +331,7 @@
 
     def close(self) -> None:
         """Close the connection immediately, which cancels a running request at the server."""
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -64,19 +64,31 @@
             self.discard(self._idle.popleft())
         if self.open >= self.limit:
             return Err(f"{self.address} already has {self.limit} connections")
+        return await self._open(connect_timeout)
+
+    async def refuses_connections(self, connect_timeout: float) -> bool:
+        """Return whether a new connection fails; one that opens is kept for the next request."""
+        if self.open >= self.limit:
+            return False
+        opened = await self._open(connect_timeout)
+        if isinstance(opened, Ok):
+            self.release(opened.ok_value)
+        return isinstance(opened, Err)
+
+    async def _open(self, connect_timeout: float | None) -> Result[HttpConnection, str]:
         self.open += 1
-        opened = False
+        is_open = False
         try:
             outcome = await connect(self.address, connect_timeout or self._connect_timeout)
-            opened = outcome.is_ok()
+            is_open = outcome.is_ok()
         finally:
-            if not opened:
+            if not is_open:
                 self.open -= 1
         return outcome
 
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
-        if not connection.reusable:
+        if not (connection.reusable or connection.is_unused):
             self.discard(connection)
             return
         connection.idle_since = self._monotonic()
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cassiashore._internal.catalogue.manifest import Manifest
+from cassiashore._internal.requests.poison import RequestReport
 from cassiashore._internal.store.client import ListedInstance
 from cassiashore._internal.store.events import ChangeBatch, Snapshot
 
@@ -155,13 +156,15 @@
 
 
 class CrashReport(_Message, frozen=True, tag=13):
-    """Reports fingerprints of requests whose target connection was lost while they ran.
+    """Reports the requests whose target connections were lost while they ran, by fingerprint.
 
-    ``origin`` is the incarnation that saw the crashes; its counts only grow.
+    ``origin`` is the incarnation that lost them. ``count_by_fingerprint`` is always empty; earlier
+    releases used it.
     """
 
     origin: str
     count_by_fingerprint: dict[int, int]
+    report_by_fingerprint: dict[int, RequestReport] = {}
 
 
 class InstanceList(_Message, frozen=True, tag=15):
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -36,7 +36,7 @@
 from cassiashore._internal.proxy.exchange import Exchange
 from cassiashore._internal.proxy.hop import Hop, HopKind, sign_hop
 from cassiashore._internal.proxy.responses import FailureReport
-from cassiashore._internal.requests.poison import CRASH_LIMIT, PoisonRegistry
+from cassiashore._internal.requests.poison import CRASH_LIMIT, LossCount, PoisonRegistry
 from cassiashore._internal.requests.retry import RetryBudget
 from cassiashore._internal.routing.finder import PlaceFinder
 from cassiashore._internal.routing.places import Place, PlaceKind
@@ -138,7 +138,7 @@
         if runtime is None:
             detail = f'service "{exchange.service.name}" has left the catalogue'
             return Err(Failure.not_run(Reason.UNKNOWN_SERVICE, detail))
-        if self._poison.is_poisonous(exchange.fingerprint):
+        if not self._poison.try_admit(exchange.fingerprint):
             detail = "this request has crashed targets"
             return Err(Failure.not_run(Reason.POISONOUS, detail))
         if reach is Reach.ANYWHERE:
@@ -293,6 +293,7 @@
         self, exchange: Exchange, slots: ServiceSlots, state: TargetState
     ) -> Result[UpstreamResponse, Failure]:
         started = time.monotonic()
+        losses_before = self._poison.loss_count(exchange.fingerprint)
         response: UpstreamResponse | None = None
         outcome: Result[UpstreamResponse, Failure] | None = None
         try:
@@ -310,7 +311,7 @@
                 self._release_slot_later(slots, state)
         if isinstance(outcome, Err):
             failure = outcome.err_value
-            self._record_failure(exchange, slots, state, failure)
+            self._record_failure(exchange, slots, state, failure, losses_before)
             if failure.outcome is Outcome.NOT_RUN:
                 slots.release(state)
             else:
@@ -334,6 +335,7 @@
             state.health.record_shed(time.monotonic())
             response.finish(False)
             return Err(Failure.not_run(Reason.TARGET_SHED, f"{state.target.name} shed it"))
+        self._poison.record_response(exchange.fingerprint)
         if response.head.status >= SERVER_ERROR:
             if state.health.record_failure():
                 slots.eject_if_allowed(state)
@@ -352,11 +354,16 @@
         return exchange.home_region != own_region
 
     def _record_failure(
-        self, exchange: Exchange, slots: ServiceSlots, state: TargetState, failure: Failure
+        self,
+        exchange: Exchange,
+        slots: ServiceSlots,
+        state: TargetState,
+        failure: Failure,
+        losses_before: LossCount,
     ) -> None:
         if failure.reason is Reason.TARGET_FAILED:
-            crashed_targets = self._poison.record_crash(exchange.fingerprint, state.target.key)
-            if crashed_targets > 1:
+            losses = self._poison.record_loss(exchange.fingerprint, state.target.key, losses_before)
+            if losses > 1:
                 # A request that several targets failed on is itself at fault, not the target.
                 return
         if state.health.record_failure():
--- a/src/cassiashore/_internal/proxy/statuses.py
+++ b/src/cassiashore/_internal/proxy/statuses.py
@@ -10,6 +10,8 @@
     Reason.TARGET_SHED: 503,
     Reason.TARGET_UNREACHABLE: 503,
     Reason.TARGET_FAILED: 502,
+    Reason.CONNECTION_DROPPED: 502,
+    Reason.BODY_CUT_OFF: 502,
     Reason.DEADLINE: 504,
     Reason.PEER_UNREACHABLE: 503,
     Reason.PEER_FAILED: 502,
--- a/src/cassiashore/_internal/requests/poison.py
+++ b/src/cassiashore/_internal/requests/poison.py
@@ -1,4 +1,11 @@
-"""Detection of requests that crash targets (poison requests)."""
+"""Detection of requests that crash targets (poison requests).
+
+One disruption cuts off many equal requests at once: the crash of a target, a reset of all
+connections of an instance, or the loss of a failure domain. So lost connections are not simply
+added up. An attempt that is lost counts one more than the losses that were known when it began, as
+in a Lamport clock: attempts that ran side by side count once, over all instances. A response starts
+a new epoch without losses. Instances exchange epoch and count, and the higher ones win.
+"""
 
 from __future__ import annotations
 
@@ -7,11 +14,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
-CRASH_LIMIT = 2  # targets that one request may crash before it is refused
-CRASH_RETENTION_SECONDS = 600.0  # callers no longer retry a request after that
+CRASH_LIMIT = 2  # consecutive losses of a request after which it is refused
+# Suspension after the loss that reached the limit; doubles with each further loss.
+FIRST_SUSPENSION_SECONDS = 60.0
+MAX_SUSPENSION_SECONDS = 600.0
+TRIAL_SECONDS = 10.0  # between two trials of a request at one instance, once its suspension ended
+RETENTION_SECONDS = 1200.0  # twice the longest suspension, so that repeated ones double
 MAX_FINGERPRINTS = 4096  # limits memory; each takes some hundred bytes
+MAX_RUNS = 8  # lost runs of targets that are kept for each request
 
 
 def fingerprint(service: str, method: str, path: str, body: bytes) -> int:
@@ -21,76 +34,187 @@
     return digest.intdigest()
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class LossCount:
+    """Consecutive losses of a request since its last response, which began the epoch."""
+
+    epoch: int = 0
+    losses: int = 0
+
+
+class RequestReport(msgspec.Struct, array_like=True, frozen=True):
+    """What an instance reports of one request; ``runs`` are hashes of lost runs of targets."""
+
+    epoch: int
+    losses: int
+    runs: list[int] = []
+
+
+CrashReports = dict[int, RequestReport]
+"""Reports of one instance by request fingerprint."""
+
+OnDecision = Callable[[str, int, LossCount], None]
+"""Called when a request is "suspended" or "cleared", with its fingerprint and count."""
+
+_NO_LOSSES = LossCount()
+
+
 @dataclass(slots=True)
-class _CrashCounts:
-    own: int = 0
-    reported: dict[str, int] = field(default_factory=dict)
-    targets: set[str] = field(default_factory=set)
+class _Evidence:
+    """Losses of one request. ``is_shared`` is set if other instances may know of them."""
+
+    count: LossCount = _NO_LOSSES
+    runs: list[int] = field(default_factory=list)
+    is_shared: bool = False
+    is_own: bool = False
     updated_at: float = 0.0
+    next_trial_at: float = float("-inf")
 
-    @property
-    def total(self) -> int:
-        return self.own + sum(self.reported.values())
+    def advance(self, count: LossCount, runs: list[int], now: float) -> bool:
+        """Use a higher count; return whether it was higher."""
+        if count <= self.count:
+            return False
+        if count.epoch > self.count.epoch:
+            self.runs.clear()
+        self.runs += [run for run in runs if run not in self.runs]
+        del self.runs[:-MAX_RUNS]
+        self.count = count
+        self.updated_at = now
+        return True
 
 
 class PoisonRegistry:
-    """Counts lost target connections by request fingerprint, own ones and those peers report."""
+    """Consecutive losses by request fingerprint, as known to this instance and to others."""
 
     def __init__(
         self, monotonic: Callable[[], float] = time.monotonic, limit: int = CRASH_LIMIT
     ) -> None:
-        """Create an empty registry that refuses a request after ``limit`` crashes."""
-        self.on_crash: Callable[[], None] = lambda: None
+        """Create an empty registry that suspends a request after ``limit`` consecutive losses."""
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_decision: OnDecision = lambda what, fingerprint, count: None
         self._limit = limit
         self._monotonic = monotonic
-        self._counts_by_fingerprint: OrderedDict[int, _CrashCounts] = OrderedDict()
-
-    def record_crash(self, fingerprint: int, target_key: str) -> int:
-        """Count a connection lost while the request ran; return how many targets crashed here."""
-        counts = self._counts_for(fingerprint)
-        counts.own += 1
-        counts.targets.add(target_key)
-        self.on_crash()
-        return len(counts.targets)
-
-    def merge_report(self, origin: str, count_by_fingerprint: dict[int, int]) -> bool:
-        """Merge the counts of another instance, which only grow; return whether any was new."""
-        is_new = False
-        for value, count in count_by_fingerprint.items():
-            reported = self._counts_for(value).reported
-            if count > reported.get(origin, 0):
-                reported[origin] = count
-                is_new = True
-        return is_new
+        self._evidence_by_fingerprint: OrderedDict[int, _Evidence] = OrderedDict()
+
+    # Evidence of this instance.
+
+    def loss_count(self, fingerprint: int) -> LossCount:
+        """Return the losses that are known, which an attempt that begins now has to remember."""
+        evidence = self._current(fingerprint)
+        return _NO_LOSSES if evidence is None else evidence.count
+
+    def record_loss(
+        self, fingerprint: int, target_run: str, before: LossCount, *, was_idle: bool = False
+    ) -> int:
+        """Record that the connection of an attempt was lost; return the consecutive losses.
+
+        ``before`` is the count when the attempt began. ``was_idle`` tells that the connection was
+        open before the attempt, so that it may be another loss of the same run of the target.
+        """
+        run = xxhash.xxh64_intdigest(target_run.encode())
+        evidence = self._evidence_for(fingerprint)
+        known = evidence.count
+        losses = before.losses if before.epoch == known.epoch else 0
+        if not (was_idle and run in evidence.runs):
+            losses += 1
+        if self._advance(fingerprint, evidence, LossCount(known.epoch, losses), [run]):
+            evidence.is_own = True
+            self.on_change()
+        return evidence.count.losses
+
+    def record_response(self, fingerprint: int) -> None:
+        """Record that a target responded, so that the request does not crash targets."""
+        evidence = self._evidence_by_fingerprint.get(fingerprint)
+        if evidence is None or evidence.count.losses == 0:
+            return
+        next_epoch = LossCount(evidence.count.epoch + 1)
+        self._advance(fingerprint, evidence, next_epoch, [])
+        if not evidence.is_shared:
+            del self._evidence_by_fingerprint[fingerprint]
+            return
+        evidence.is_own = True
+        self.on_change()
+
+    # Decisions.
 
     def is_poisonous(self, fingerprint: int) -> bool:
-        """Return whether the request has reached the crash limit."""
-        counts = self._counts_by_fingerprint.get(fingerprint)
-        if counts is None:
+        """Return whether the request must not be sent to any target now."""
+        evidence = self._current(fingerprint)
+        return evidence is not None and self._monotonic() < self._suspended_until(evidence)
+
+    def try_admit(self, fingerprint: int) -> bool:
+        """Return whether a new request may be sent.
+
+        After a suspension one request at a time is admitted as a trial.
+        """
+        evidence = self._current(fingerprint)
+        if evidence is None or evidence.count.losses < self._limit:
+            return True
+        now = self._monotonic()
+        if now < max(self._suspended_until(evidence), evidence.next_trial_at):
             return False
-        if self._monotonic() - counts.updated_at > CRASH_RETENTION_SECONDS:
-            del self._counts_by_fingerprint[fingerprint]
+        evidence.next_trial_at = now + TRIAL_SECONDS
+        return True
+
+    def _suspended_until(self, evidence: _Evidence) -> float:
+        excess = evidence.count.losses - self._limit
+        if excess < 0:
+            return float("-inf")
+        seconds = min(FIRST_SUSPENSION_SECONDS * 2.0**excess, MAX_SUSPENSION_SECONDS)
+        return evidence.updated_at + seconds
+
+    # Exchange with other instances.
+
+    def reports(self) -> CrashReports:
+        """Return what this instance has seen itself, to send it to the others."""
+        reports: CrashReports = {}
+        for value in list(self._evidence_by_fingerprint):
+            evidence = self._current(value)
+            if evidence is not None and evidence.is_own:
+                evidence.is_shared = True
+                count = evidence.count
+                reports[value] = RequestReport(count.epoch, count.losses, list(evidence.runs))
+        return reports
+
+    def merge_reports(self, reports: CrashReports) -> bool:
+        """Use the reports of another instance; return whether any of them was new."""
+        is_new = False
+        for value, report in reports.items():
+            evidence = self._evidence_for(value)
+            evidence.is_shared = True
+            count = LossCount(report.epoch, report.losses)
+            is_new |= self._advance(value, evidence, count, report.runs)
+        return is_new
+
+    # Bookkeeping.
+
+    def _advance(
+        self, fingerprint: int, evidence: _Evidence, count: LossCount, runs: list[int]
+    ) -> bool:
+        losses_before = evidence.count.losses
+        if not evidence.advance(count, runs, self._monotonic()):
             return False
-        return counts.total >= self._limit
-
-    def clear_crashes(self, fingerprint: int) -> bool:
-        """Delete a request's counts after a complete response; return whether any were own ones."""
-        counts = self._counts_by_fingerprint.pop(fingerprint, None)
-        return counts is not None and counts.own > 0
-
-    def discard_reports(self, origin: str) -> None:
-        """Discard the counts reported by an instance that withdrew them or has ended."""
-        for counts in self._counts_by_fingerprint.values():
-            counts.reported.pop(origin, None)
-
-    def own_crash_counts(self) -> dict[int, int]:
-        """Return the crashes counted by this instance, to report them to peers."""
-        return {value: s.own for value, s in self._counts_by_fingerprint.items() if s.own}
-
-    def _counts_for(self, fingerprint: int) -> _CrashCounts:
-        counts = self._counts_by_fingerprint.setdefault(fingerprint, _CrashCounts())
-        counts.updated_at = self._monotonic()
-        self._counts_by_fingerprint.move_to_end(fingerprint)
-        while len(self._counts_by_fingerprint) > MAX_FINGERPRINTS:
-            self._counts_by_fingerprint.popitem(last=False)
-        return counts
+        if count.losses >= self._limit:
+            self.on_decision("suspended", fingerprint, count)
+        elif losses_before >= self._limit:
+            self.on_decision("cleared", fingerprint, count)
+        return True
+
+    def _current(self, fingerprint: int) -> _Evidence | None:
+        evidence = self._evidence_by_fingerprint.get(fingerprint)
+        if evidence is None:
+            return None
+        if self._monotonic() - evidence.updated_at > RETENTION_SECONDS:
+            del self._evidence_by_fingerprint[fingerprint]
+            return None
+        return evidence
+
+    def _evidence_for(self, fingerprint: int) -> _Evidence:
+        evidence = self._current(fingerprint)
+        if evidence is None:
+            evidence = _Evidence(updated_at=self._monotonic())
+            self._evidence_by_fingerprint[fingerprint] = evidence
+            if len(self._evidence_by_fingerprint) > MAX_FINGERPRINTS:
+                self._evidence_by_fingerprint.popitem(last=False)
+        self._evidence_by_fingerprint.move_to_end(fingerprint)
+        return evidence
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -69,6 +69,11 @@
         """Return the target's id."""
         return self.report.target_id
 
+    @property
+    def run(self) -> str:
+        """Return a name of this run of the target; a later run may have the same id."""
+        return f"{self.target_id} {self.report.started_ms}"
+
     @property
     def accepts_requests(self) -> bool:
         """Return whether the target may get new requests, regardless of its load."""
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -31,7 +31,7 @@
 from cassiashore._internal.observability.logs import DecisionLog, LogPipeline
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.peers.messages import Identity, RenewalRequest
-from cassiashore._internal.requests.poison import PoisonRegistry
+from cassiashore._internal.requests.poison import LossCount, PoisonRegistry
 from cassiashore._internal.steering.active_instances import InstanceInfo, capacity_of
 from cassiashore._internal.steering.balance import RegionBalance
 from cassiashore._internal.steering.cold import ColdAdmission
@@ -60,7 +60,7 @@
 LEASE_END_PROPAGATION_SECONDS = 1.5
 DIRECTORY_TTL_SECONDS = 2.0  # bounds how long callers use an instance that has ended
 LISTEN_BACKLOG = 1024  # all callers may reconnect at once after a restart
-POISON_CRASH_LIMIT = 3  # crashes after which a request is no longer sent to any target
+POISON_CRASH_LIMIT = 3  # consecutive losses after which a request is not sent to any target
 SETTINGS_POLL_SECONDS = 2.0  # settings may change without a signal
 MAINTENANCE_INTERVAL_SECONDS = 5.0  # half of the idle time after which targets close connections
 INSTANCE_POLL_SECONDS = 0.5  # a fifth of the time after which an instance uses parts of limits
@@ -117,6 +117,7 @@
             self.registry, self.distances, self.balance, self.own.region, time.monotonic
         )
         self.poison = PoisonRegistry(limit=POISON_CRASH_LIMIT)
+        self.poison.on_decision = self._log_poison_decision
         self.recent = self._follow_list(self.instances.registered)
         self.recent_active = self._follow_list(
             lambda: self.instances.active_instances(without_own=False)
@@ -345,6 +346,15 @@
         self.settings = settings
         logger.info("settings reloaded")
 
+    def _log_poison_decision(self, what: str, fingerprint: int, count: LossCount) -> None:
+        self._decisions.write(
+            "poison",
+            what=what,
+            fingerprint=f"{fingerprint:016x}",
+            epoch=count.epoch,
+            losses=count.losses,
+        )
+
     # Queries.
 
     def is_ready(self) -> bool:
--- a/tests/functional/test_platform_node.py
+++ b/tests/functional/test_platform_node.py
@@ -16,6 +16,7 @@
 from cassiashore._internal.mirror.feed_health import FeedState
 from cassiashore._internal.mirror.registration import FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.requests.poison import LossCount
 from cassiashore._internal.steering.balance import DECISION_INTERVAL_SECONDS
 from cassiashore._internal.steering.senders import MAX_ISOLATION_SECONDS
 from cassiashore._internal.store.client import StoreFault
@@ -258,10 +259,10 @@
     async def test() -> None:
         store, address, _ = await filled_store()
         async with running_node(tmp_path, settings(address)) as node:
-            key = f"cassiashore/crashes/{node.instances.own_incarnation}"
+            key = f"cassiashore/losses/{node.instances.own_incarnation}"
             before = node.store.calls_by_kind["txn"]
             for number in range(40):
-                node.poison.record_crash(number, "i-1")
+                node.poison.record_loss(number, "i-1", LossCount())
                 for _ in range(10):
                     await asyncio.sleep(0)
             await wait_until(
--- a/tests/lib/steering_builders.py
+++ b/tests/lib/steering_builders.py
@@ -114,6 +114,12 @@
         self.address = f"{host}:{port}"
         return self
 
+    async def stop(self) -> None:
+        """Refuse new connections from now on."""
+        assert self.server is not None
+        self.server.close()
+        await asyncio.sleep(0)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         try:
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -610,6 +610,115 @@
     run(test)
 
 
+def test_one_crash_of_a_target_does_not_block_a_page_that_many_callers_read() -> None:
+    """The crash cut off several equal requests, each of which counted as a crash: 422 for good."""
+
+    async def test() -> None:
+        crashed = asyncio.Event()
+
+        async def crashes_with_all_requests(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            await crashed.wait()
+            writer.transport.abort()
+
+        ingress = await start_ingress(table(route(max_attempts=3, timeout=5, objective=2)))
+        targets = await start_targets(ingress, *[respond] * 4)
+        first = next(t for n, t in enumerate(targets) if f"t-{n}" == ranked_first(ingress, "17"))
+        first.serve = crashes_with_all_requests
+        reads = [
+            asyncio.create_task(ingress.ask(request("/a/popular", request_id=f"id-{n}")))
+            for n in range(4)
+        ]
+        while len(first.heads) < 4:
+            await asyncio.sleep(0.01)
+        crashed.set()
+        await first.stop()
+        assert {(await read)[0] for read in reads} == {200}
+        later = await ingress.ask(request("/a/popular", request_id="id-later"))
+        assert later[0] == 200
+
+    run(test)
+
+
+def test_idle_connections_that_targets_dropped_do_not_block_a_request() -> None:
+    """Each lost connection counted as a crash, although the targets had closed them while idle."""
+
+    async def test() -> None:
+        async def drops_known(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            if dropping.is_set() and writer in known:
+                writer.transport.abort()
+                return
+            known.add(writer)
+            writer.write(build_response(head))
+
+        known: set[asyncio.StreamWriter] = set()
+        dropping = asyncio.Event()
+        ingress = await start_ingress(table(route(max_attempts=3)))
+        targets = await start_targets(ingress, *[drops_known] * 3)
+        for number in range(50):
+            if all(target.heads for target in targets):
+                break
+            await ingress.ask(request(f"/a/{number}", key=f"{number}"))
+        dropping.set()
+        assert (await ingress.ask(request("/a/same")))[0] == 502
+        assert (await ingress.ask(request("/a/same", request_id="id-2")))[0] == 200
+
+    run(test)
+
+
+def test_cut_off_or_malformed_responses_do_not_block_a_request() -> None:
+    """A target that begins to respond, or sends other bytes, has not crashed."""
+
+    async def test() -> None:
+        async def responds_badly(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            answers.append(head)
+            if len(answers) > 3:
+                writer.write(build_response(head))
+                return
+            writer.write(build_response(head)[:-1] if len(answers) == 2 else b"no response")
+            writer.close()
+
+        answers: list[bytes] = []
+        ingress = await start_ingress(table(route(max_attempts=3)))
+        await start_targets(ingress, *[responds_badly] * 3)
+        statuses = [(await ingress.ask(request(request_id=f"id-{n}")))[0] for n in range(2)]
+        assert statuses == [502, 200]
+
+    run(test)
+
+
+def test_a_body_that_its_caller_does_not_finish_is_no_failure_of_the_target() -> None:
+    """Callers that stalled had healthy targets ejected, and their requests blocked."""
+
+    async def test() -> None:
+        async def reads(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
+        ) -> None:
+            await reader.read(1 << 20)
+            await reader.read()
+
+        limits = IngressLimits(header_seconds=0.1, idle_seconds=0.1)
+        ingress = await start_ingress(table(route(timeout=5), limits=limits))
+        await start_targets(ingress, reads)
+        for number in range(4):
+            client = await ingress.open()
+            head = (
+                "POST /a/upload HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 200000\r\n"
+                f"X-Cassiashore-Request-Id: id-{number}\r\n\r\n"
+            )
+            client.send(head.encode() + b"x" * 100_000)
+            assert (await client.receive())[0] == 502
+        (target,) = ingress.registry.target_by_id.values()
+        assert target.health.consecutive_failures == 0
+
+    run(test)
+
+
 def test_a_draining_server_closes_each_connection_after_its_response() -> None:
     async def test() -> None:
         ingress = await start_ingress(table(route()))
