Skip entries that another writer left, whatever they contain

Reported by other operators: one odd entry among those of the targets ended the machines that read it, or they stopped following the list.

Shown here: the daemon ended at each start if a registration of its failure domain could not be read, since the task that reads them failed. On the users' platform nothing ended, but deeply nested entries were logged as faults of the program, entries with far too many slots drew nearly all requests of a service, and an id with a line break added headers to requests.

Cause: each decoder named the errors that it expects; RecursionError, which msgspec raises for nested values, was named by none, and two named no error. Numbers of entries were checked for their type only.

Change: the errors are named once and used by every decoder of bytes that others wrote. Entries are checked for ranges, host and id; the daemon skips registrations that it cannot read.

--- a/src/cassiashore/_internal/catalogue/bundle.py
+++ b/src/cassiashore/_internal/catalogue/bundle.py
@@ -16,6 +16,7 @@
 from cassiashore._internal.catalogue.index import Catalogue, build_catalogue
 from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.validation import format_validation_errors
 
 MANIFEST_KEY = "catalogue/manifest"
@@ -61,7 +62,12 @@
             return Err(BundleFault(manifest.version, [f'part "{name}" ({digest}) is missing']))
         if digest_of(content) != digest:
             return Err(BundleFault(manifest.version, [f'part "{name}" does not match {digest}']))
-        value = json.loads(content)
+        try:
+            value = json.loads(content)
+        except DECODE_ERRORS as error:
+            return Err(BundleFault(manifest.version, [f'part "{name}": {error}']))
+        if name == "base" and not isinstance(value, dict):
+            return Err(BundleFault(manifest.version, ['part "base" is not an object']))
         if name == "base":
             document.update(value)
         elif name == "networks":
--- a/src/cassiashore/_internal/catalogue/follower.py
+++ b/src/cassiashore/_internal/catalogue/follower.py
@@ -17,6 +17,7 @@
 from cassiashore._internal.catalogue.bundle import MANIFEST_KEY, PART_KEY_PREFIX
 from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.versioned import VersionedCatalogue
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.store.client import Entry, StoreClient, StoreFault
 
 logger = logging.getLogger(__name__)
@@ -77,7 +78,7 @@
     async def _apply(self, entry: Entry) -> Result[None, str]:
         try:
             manifest = msgspec.json.decode(entry.value, type=Manifest)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return Err(f"the manifest is malformed: {error}")
         if manifest.version <= self._versioned_catalogue.version:
             return Ok(None)
--- a/src/cassiashore/_internal/catalogue/publisher.py
+++ b/src/cassiashore/_internal/catalogue/publisher.py
@@ -23,6 +23,7 @@
 )
 from cassiashore._internal.catalogue.manifest import Bundle, Change, Manifest
 from cassiashore._internal.catalogue.schema import CatalogueSpec
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.store.client import Conflict, Entry, StoreClient, StoreFault
 
 PUBLISH_ATTEMPTS = 5
@@ -53,7 +54,7 @@
     got = await store.get(MANIFEST_KEY)
     if isinstance(got, Err):
         return got
-    return Ok(_decode_entry(got.ok_value))
+    return _decode_entry(got.ok_value)
 
 
 async def publish(
@@ -122,7 +123,10 @@
             return Ok(manifest)
         fault = written.err_value
         if isinstance(fault, Conflict):
-            current, _ = _decode_entry(fault.current)
+            decoded = _decode_entry(fault.current)
+            if isinstance(decoded, Err):
+                return Err(PublishFault(Verdict.REJECTED, decoded.err_value.detail))
+            current, _ = decoded.ok_value
             outcome_found = _find_outcome(current, manifest.change_id, base_version)
             assert outcome_found is not None
             return outcome_found
@@ -151,7 +155,11 @@
     return None
 
 
-def _decode_entry(entry: Entry) -> tuple[Manifest | None, int]:
+def _decode_entry(entry: Entry) -> Result[tuple[Manifest | None, int], StoreFault]:
     if entry.revision == 0:
-        return None, 0
-    return msgspec.json.decode(entry.value, type=Manifest), entry.revision
+        return Ok((None, 0))
+    try:
+        manifest = msgspec.json.decode(entry.value, type=Manifest)
+    except DECODE_ERRORS as error:
+        return Err(StoreFault(f'key "{MANIFEST_KEY}" has no valid manifest: {error}', sent=True))
+    return Ok((manifest, entry.revision))
--- a/src/cassiashore/_internal/cli/operator_client.py
+++ b/src/cassiashore/_internal/cli/operator_client.py
@@ -12,6 +12,7 @@
 
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.net.http_client import connect, request_head
 
 CALL_SECONDS = 15.0  # longer than publishing a change may take
@@ -56,7 +57,7 @@
             return Ok(CallResponse(head.status, msgspec.json.decode(content or b"null")))
         except TimeoutError:
             return Err(f"{self.address} did not answer within {CALL_SECONDS:g} s")
-        except (ConnectionLostError, msgspec.DecodeError) as error:
+        except (ConnectionLostError, *DECODE_ERRORS) as error:
             return Err(f"{self.address}: {error}")
         finally:
             connection.close()
--- a/src/cassiashore/_internal/entry/cluster.py
+++ b/src/cassiashore/_internal/entry/cluster.py
@@ -15,6 +15,7 @@
 from cassiashore._internal.catalogue.manifest import Bundle, Manifest
 from cassiashore._internal.catalogue.versioned import VersionedCatalogue
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.peers.gossip import Gossip
 from cassiashore._internal.peers.link import PeerLink
@@ -206,9 +207,19 @@
             if isinstance(entry, Err):
                 return False
             if entry.ok_value.revision:
-                self._add_member(msgspec.json.decode(entry.ok_value.value, type=Identity))
+                self._add_registered(other, entry.ok_value.value)
         return True
 
+    def _add_registered(self, key: str, value: bytes) -> None:
+        """Add a registered instance; an entry that another writer left adds none."""
+        try:
+            identity = msgspec.json.decode(value, type=Identity)
+            Address.parse(identity.peer_address)
+        except DECODE_ERRORS as error:
+            logger.warning('registration "%s" ignored: %s', key, error)
+            return
+        self._add_member(identity)
+
     def is_watcher(self) -> bool:
         """Return whether this instance is one of the failure domain's store watchers."""
         alive = [m.identity.incarnation for m in self.membership.alive() if not m.leaving]
--- a/src/cassiashore/_internal/entry/prober.py
+++ b/src/cassiashore/_internal/entry/prober.py
@@ -18,6 +18,7 @@
 from cassiashore._internal.admission.slots import TargetState
 from cassiashore._internal.catalogue.index import Service
 from cassiashore._internal.exceptions import ConnectionLostError
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.net.http_client import request_head
 from cassiashore._internal.proxy.runner import ServiceRuntime
 
@@ -94,7 +95,7 @@
             body = await connection.read_all(MAX_REPORT_BYTES)
             is_complete = True
         return msgspec.json.decode(body, type=HealthReport)
-    except (TimeoutError, ConnectionLostError, msgspec.DecodeError):
+    except (TimeoutError, ConnectionLostError, *DECODE_ERRORS):
         return None
     finally:
         if is_complete:
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.models.hashing import hash64
 from cassiashore._internal.peers.messages import Identity
 from cassiashore._internal.steering.active_instances import InstanceInfo, select_active_per_domain
@@ -72,7 +73,7 @@
             return
         try:
             load = msgspec.msgpack.decode(value, type=float)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             logger.warning('load of instance "%s" ignored: %s', incarnation, error)
             return
         if math.isfinite(load) and load > 0:
@@ -93,7 +94,7 @@
         try:
             record = _decoder.decode(value)
             Address.parse(record.identity.peer_address)
-        except ValueError as error:  # includes the errors of msgspec
+        except DECODE_ERRORS as error:
             logger.warning('registration of instance "%s" ignored: %s', incarnation, error)
             return
         if incarnation not in self.record_by_incarnation:
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -7,8 +7,6 @@
 import time
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from cassiashore._internal.exceptions import ProtocolViolationError
 from cassiashore._internal.mirror.feed_knowledge import FeedFreshness, is_fresh
 from cassiashore._internal.mirror.feed_subscribers import FeedSubscribers
@@ -19,6 +17,7 @@
 from cassiashore._internal.mirror.renewals import PeerRenewals
 from cassiashore._internal.mirror.sender_choice import SenderChoice
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.peers import link as links
 from cassiashore._internal.peers.link import PeerLink
 from cassiashore._internal.peers.messages import (
@@ -48,7 +47,7 @@
     asyncio.IncompleteReadError,
     ProtocolViolationError,
     TimeoutError,
-    msgspec.DecodeError,
+    *DECODE_ERRORS,
 )
 
 
--- a/src/cassiashore/_internal/mirror/shared_state.py
+++ b/src/cassiashore/_internal/mirror/shared_state.py
@@ -19,6 +19,7 @@
 from cassiashore._internal.mirror.instances import InstanceTable, encode_record
 from cassiashore._internal.mirror.mirror import StoreMirror
 from cassiashore._internal.mirror.registration import Registration
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.requests.poison import CrashReports, PoisonRegistry
 from cassiashore._internal.steering.active_instances import load_to_publish
@@ -187,7 +188,7 @@
             self._other_decision_at = time.monotonic()
         try:
             self._balance.apply_decisions(msgspec.msgpack.decode(value, type=dict[str, float]))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             logger.warning('balance of region "%s" ignored: %s', region, error)
 
     def _crashes_changed(self, incarnation: str, value: bytes | None) -> None:
@@ -195,7 +196,7 @@
             return
         try:
             reports = msgspec.msgpack.decode(value, type=CrashReports)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             logger.warning('crash report of "%s" ignored: %s', incarnation, error)
             return
         self._poison.merge_reports(reports)
--- a/src/cassiashore/_internal/peers/link.py
+++ b/src/cassiashore/_internal/peers/link.py
@@ -17,6 +17,7 @@
 
 from cassiashore._internal.exceptions import ProtocolViolationError
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.peers import messages
 from cassiashore._internal.peers.messages import Hello, Identity, Message, Proof
 
@@ -146,5 +147,5 @@
     payload = await reader.readexactly(length)
     try:
         return messages.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ProtocolViolationError(f"a frame contains no valid message: {error}") from error
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -21,6 +21,7 @@
 from cassiashore._internal.catalogue.index import Catalogue
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.net.pool import ConnectionPool
 from cassiashore._internal.observability.logs import DecisionLog
@@ -468,7 +469,7 @@
         fully_read = True
         report = msgspec.json.decode(body, type=FailureReport)
         return Err(Failure(report.outcome, report.reason, report.detail))
-    except (ConnectionLostError, msgspec.DecodeError) as error:
+    except (ConnectionLostError, *DECODE_ERRORS) as error:
         return Err(Failure.unknown(Reason.PEER_FAILED, f"unreadable answer: {error}"))
     finally:
         response.finish(fully_read)
--- a/src/cassiashore/_internal/requests/claims.py
+++ b/src/cassiashore/_internal/requests/claims.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from cassiashore._internal.admission.window import TokenBucket
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.models.outcome import Failure, Reason
 from cassiashore._internal.store.client import Conflict, Entry, StoreClient
 
@@ -104,6 +105,6 @@
 def _owner_of(entry: Entry) -> Result[Claimed, Failure]:
     try:
         value = msgspec.json.decode(entry.value, type=ClaimValue)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return Err(Failure.unknown(Reason.KEY_MALFORMED, "the stored claim is unreadable"))
     return Ok(Claimed(value.incarnation, value.slot))
--- a/src/cassiashore/_internal/store/client.py
+++ b/src/cassiashore/_internal/store/client.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.net.http_call import CallFault, HttpCaller
 from cassiashore._internal.net.http_client import ResponseHead
 
@@ -139,5 +140,5 @@
         return response
     try:
         return Ok(msgspec.json.decode(response.ok_value[1], type=value_type))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Err(StoreFault(f"store answer is malformed: {error}", sent=True))
--- a/src/cassiashore/_internal/validation.py
+++ b/src/cassiashore/_internal/validation.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ValidationError
 
 from cassiashore._internal.exceptions import InvalidFileError
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
@@ -29,7 +30,7 @@
         return yaml.load(Path(path).read_text(encoding="utf-8"), Loader=_UniqueKeyLoader)
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidFileError([f"{path}: document: cannot be read: {error}"]) from error
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, *DECODE_ERRORS) as error:
         detail = " ".join(str(error).split())
         raise InvalidFileError([f"{path}: document: not valid YAML: {detail}"]) from error
 
--- a/src/cassiashore/platform/decoding.py
+++ b/src/cassiashore/platform/decoding.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok, Result
 
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.steering.registry import TargetReport
 from cassiashore._internal.steering.routes import (
     IngressLimits,
@@ -26,6 +29,11 @@
 }
 _DRAINING_BY_WORD = {"ready": False, "draining": True}
 MAX_VERSION_DIGITS = 16  # hexadecimal digits of a 64-bit counter
+MAX_COUNTER = 2**63 - 1  # of a signed 64-bit integer
+MAX_SLOTS = 1_000_000  # far more than one process serves at a time
+MAX_COLD_SECONDS = 86_400.0  # a day; targets warm up within seconds or minutes
+MAX_ID_LENGTH = 200  # of a key in the store
+_TARGET_ID = re.compile(f"[!-~]{{1,{MAX_ID_LENGTH}}}")  # it is sent in a header
 
 
 class _WireObject(msgspec.Struct, frozen=True, rename="kebab"):
@@ -130,7 +138,7 @@
         try:
             manifest = _manifest_decoder.decode(content)
             version = int(manifest.version, 16)
-        except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return Err(str(error))
         if len(manifest.version) > MAX_VERSION_DIGITS:
             return Err(f'version "{manifest.version}" is too long')
@@ -157,7 +165,7 @@
         try:
             wire = _route_decoder.decode(content)
             route = _build_route(name, wire)
-        except (msgspec.DecodeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             return _DecodedRoute(
                 content, _unreadable_route(name, content), f'route "{name}": {error}'
             )
@@ -172,7 +180,7 @@
     for name, raw in services.items():
         try:
             wire = _service_decoder.decode(raw)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             faults.append(f'service "{name}": {error}')
             continue
         rules[name] = ServiceRule(
@@ -185,7 +193,7 @@
     """Decode the limits; return the previous ones if they are invalid."""
     try:
         wire = _limits_decoder.decode(raw)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         faults.append(f"limits: {error}; the previous limits stay in force")
         return previous
     invalid = [name for name in _REQUIRED_LIMITS if getattr(wire, name) <= 0]
@@ -216,7 +224,7 @@
     """Build a route that only rejects requests, from whichever of host and prefix are valid."""
     try:
         fields = msgspec.json.decode(content, type=dict[str, object])
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return UnreadableRoute(name, None, None)
     host, prefix = fields.get("host"), fields.get("path-prefix")
     return UnreadableRoute(
@@ -255,21 +263,43 @@
     )
 
 
+def _check_host(host: str) -> None:
+    """Raise ``ValueError`` unless the host is an address of a single machine."""
+    ip = ipaddress.ip_address(host)
+    if ip.is_unspecified or ip.is_multicast or "%" in host:
+        raise ValueError(f'field "address" names "{host}", which is no address of one machine')
+
+
+def _check_numbers(entry: _Entry) -> None:
+    """Raise ``ValueError`` if a number is out of its range."""
+    numbers = (
+        ("born", entry.born, 0, MAX_COUNTER),
+        ("status.seq", entry.status.seq, 0, MAX_COUNTER),
+        ("status.cold-left-s", max(0.0, entry.status.cold_left_s), 0, MAX_COLD_SECONDS),
+        ("info.slots", entry.info.slots, 1, MAX_SLOTS),
+    )
+    for name, number, least, most in numbers:
+        if not least <= number <= most:
+            raise ValueError(f'field "{name}" is {number}, outside {least}..{most}')
+
+
 def decode_target(
     target_id: str, content: bytes, region_by_zone: dict[str, str]
 ) -> Result[TargetReport, str]:
     """Decode the entry of a target; return an error if any part of it is invalid."""
+    if _TARGET_ID.fullmatch(target_id) is None:
+        return Err(f"the id is not of 1 to {MAX_ID_LENGTH} visible ASCII characters")
     try:
         entry = _entry_decoder.decode(content)
         address = Address.parse(entry.address)
-    except (msgspec.DecodeError, ValueError, UnicodeDecodeError) as error:
+        _check_host(address.host)
+        _check_numbers(entry)
+    except DECODE_ERRORS as error:
         return Err(str(error))
     if entry.status.state not in _DRAINING_BY_WORD:
         return Err(f'field "status.state" has the unknown value "{entry.status.state}"')
     if entry.info.zone not in region_by_zone:
         return Err(f'field "info.zone" has the unknown value "{entry.info.zone}"')
-    if entry.info.slots < 1:
-        return Err(f'field "info.slots" is {entry.info.slots}; at least 1 is needed')
     return Ok(
         TargetReport(
             target_id=target_id,
--- a/src/cassiashore/platform/settings.py
+++ b/src/cassiashore/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cassiashore._internal.exceptions import InvalidFileError
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 
 SETTINGS_VARIABLE = "CASSIASHORE_BOOT"
 
@@ -122,7 +123,7 @@
     """Decode the file; raise ``InvalidFileError`` naming the invalid field."""
     try:
         return _decoder.decode(content)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise InvalidFileError([f"{where}: {error}"]) from error
 
 
--- a/src/cassiashore/platform/store.py
+++ b/src/cassiashore/platform/store.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.net.http_call import HttpCaller
 from cassiashore._internal.net.http_client import ResponseHead
 from cassiashore._internal.store.client import StoreFault
@@ -247,5 +248,5 @@
 def _decode(body: bytes, kind: type[ValueT]) -> Result[ValueT, StoreFault]:
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except (msgspec.DecodeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Err(StoreFault(f"malformed response of the store: {error}", sent=True))
