Choose readers of the store among runs that may still be running

Reproduced with ten real processes and the stand-in store: after all instances were killed and had started again, all ten missed four versions for up to 3 s; 93 requests were late at instances in touch.

Cause: the registrations of the killed runs outlive them. Readers and sources were chosen among them, but at their addresses now run instances that do not know that they were chosen. They followed each other, two that read the store each left it to the other, and the only one that went on reading had no followers until the last reports had expired.

Change: of the registrations at one address only the run that was met there on a stream counts, or else the latest one. Of two fallback readers that follow each other the one with the lower address goes on; heartbeats tell which readers are fallback readers. Sources are left only once another one is connected.

Why it works: an instance is chosen only if it is the one that runs at its address and so reads its own choice, and while no such one is known the stream to the seed stays.

The soak now judges manifests that were published before the system was stable again, and has the fault "restart-of-all".

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -69,6 +69,20 @@
     await _kill(environment, environment.rng.sample(instances, count))
 
 
+@fault("restart-of-all")
+async def restart_of_all(environment: SoakEnvironment) -> None:
+    """Kill all instances at the same moment, and publish manifests while they start again."""
+    publishing = asyncio.create_task(_publish_repeatedly(environment))
+    await _kill(environment, list(environment.instance_by_name.values()))
+    await publishing
+
+
+async def _publish_repeatedly(environment: SoakEnvironment) -> None:
+    for _ in range(8):
+        environment.publish_manifest()
+        await asyncio.sleep(0.6)
+
+
 @fault("roll")
 async def roll(environment: SoakEnvironment) -> None:
     """Stop one or two instances gracefully and start them again."""
--- a/lab/soak/invariants.py
+++ b/lab/soak/invariants.py
@@ -168,18 +168,21 @@
 
 @check
 def routes_are_in_force(checker: InvariantChecker, attempt: Attempt, runs: list[Run]) -> str | None:
-    """Check that instances apply a manifest within its time limit."""
-    if not checker.timed:
+    """Check that instances apply a manifest within its time limit.
+
+    That holds also for a manifest that was published before the system was stable again.
+    """
+    if not checker.timed or not checker.environment.is_stable_since(attempt.sent_at):
         return None
     prefix = "/" + attempt.path.split("/")[1] + "/"
     bound = BOUNDS["config-apply-s"] + SLACK_SECONDS
-    routes, stable_since = checker.environment.routes, checker.environment.is_stable_since
+    routes = checker.environment.routes
     added = routes.added_at.get(prefix, float("inf"))
     dropped = routes.dropped_at.get(prefix, float("inf"))
     is_due = attempt.sent_at > added + bound and attempt.ended_at < dropped
-    if attempt.status == 404 and is_due and stable_since(added):
+    if attempt.status == 404 and is_due:
         return f"CONFIG: {prefix} is unknown to {attempt.instance.name} {bound:g} s later"
-    if attempt.status == 200 and attempt.sent_at > dropped + bound and stable_since(dropped):
+    if attempt.status == 200 and attempt.sent_at > dropped + bound:
         return f"CONFIG: {prefix} is served by {attempt.instance.name} {bound:g} s after its end"
     return None
 
--- a/src/cassiashore/_internal/mirror/feed_health.py
+++ b/src/cassiashore/_internal/mirror/feed_health.py
@@ -34,25 +34,27 @@
     def __init__(self, monotonic: Callable[[], float]) -> None:
         """Create an instance without reports."""
         self._monotonic = monotonic
-        self._current_at: dict[object, float] = {}
-        self._direct_at: dict[object, float] = {}
-        self._failing_at: dict[object, float] = {}
+        self._current_at: dict[str, float] = {}
+        self._direct_at: dict[str, float] = {}
+        self._fallback_at: dict[str, float] = {}
+        self._failing_at: dict[str, float] = {}
         self._state = FeedState.SILENT
         self._state_since = monotonic()
 
-    def record_current(self, source: object, *, is_direct: bool) -> None:
+    def record_current(self, source: str, *, is_direct: bool, is_fallback: bool = False) -> None:
         """Record that a source is current, and whether it reads the store itself."""
         now = self._monotonic()
         self._current_at[source] = now
         if is_direct:
-            self._direct_at[source] = now
+            (self._fallback_at if is_fallback else self._direct_at)[source] = now
         self._failing_at.pop(source, None)
 
-    def record_failing(self, source: object) -> None:
+    def record_failing(self, source: str) -> None:
         """Record that a source is running, but the readers cannot reach the store."""
         self._failing_at[source] = self._monotonic()
         self._current_at.pop(source, None)
         self._direct_at.pop(source, None)
+        self._fallback_at.pop(source, None)
 
     @property
     def last_current_at(self) -> float:
@@ -66,7 +68,18 @@
     @property
     def has_direct_source(self) -> bool:
         """Whether a source reads the store itself."""
-        return self._latest(self._direct_at) > float("-inf")
+        return max(self._latest(self._direct_at), self._latest(self._fallback_at)) > float("-inf")
+
+    def has_reader_before(self, own_address: str) -> bool:
+        """Return whether a fallback reader at ``own_address`` can leave reading to a source.
+
+        Of two fallback readers that follow each other only one may stop, so it depends on their
+        addresses which one does.
+        """
+        if self._latest(self._direct_at) > float("-inf"):
+            return True
+        self._latest(self._fallback_at)
+        return any(source < own_address for source in self._fallback_at)
 
     def state(self) -> tuple[FeedState, float]:
         """Return the combined state of the sources, and its age in seconds."""
@@ -80,7 +93,7 @@
             self._state, self._state_since = state, now
         return state, now - self._state_since
 
-    def _latest(self, time_by_source: dict[object, float]) -> float:
+    def _latest(self, time_by_source: dict[str, float]) -> float:
         oldest = self._monotonic() - REPORT_TTL_SECONDS
         for source in [s for s, at in time_by_source.items() if at < oldest]:
             del time_by_source[source]
--- a/src/cassiashore/_internal/mirror/feed_knowledge.py
+++ b/src/cassiashore/_internal/mirror/feed_knowledge.py
@@ -25,13 +25,15 @@
 class FeedFreshness:
     """Records the heartbeats of sources and builds the heartbeats of this instance.
 
-    ``is_failing`` and ``has_store_access`` return the state of the own calls to the store.
+    ``is_failing``, ``has_store_access`` and ``is_fallback_reader`` return the state of the own
+    calls to the store.
     """
 
     def __init__(self, own_incarnation: str, mirror: StoreMirror) -> None:
         """Create an instance without any report on the store."""
         self.is_failing: Callable[[], bool] = lambda: False
         self.has_store_access: Callable[[], bool] = lambda: False
+        self.is_fallback_reader: Callable[[], bool] = lambda: False
         self.feed = FeedHealth(time.monotonic)
         self._own = own_incarnation
         self._mirror = mirror
@@ -53,7 +55,9 @@
             return True
         if not is_fresh(heartbeat) or heartbeat.revision > self._mirror.revision:
             return False
-        self.feed.record_current(source, is_direct=heartbeat.is_direct)
+        self.feed.record_current(
+            source, is_direct=heartbeat.is_direct, is_fallback=heartbeat.is_fallback
+        )
         return self.record_confirmation(heartbeat)
 
     def record_confirmation(self, heartbeat: FeedHeartbeat) -> bool:
@@ -87,4 +91,10 @@
         if last_contact is None or current_at > self._current_at_by_peers:
             last_contact = StoreContact(self._own, int(current_at * 1000))
         age_ms = min(MAX_AGE_MS, int((now - current_at) * 1000))
-        return FeedHeartbeat(revision, age_ms, is_direct=self.has_store_access(), seen=last_contact)
+        return FeedHeartbeat(
+            revision,
+            age_ms,
+            is_direct=self.has_store_access(),
+            seen=last_contact,
+            is_fallback=self.is_fallback_reader(),
+        )
--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -102,7 +102,8 @@
     def _should_read_as_fallback(self) -> bool:
         """Whether this instance reads the store in place of the readers."""
         if self.is_fallback_reader and not self.is_failing:
-            return not self._feed.has_direct_source
+            own_address = self._instances.own.identity.peer_address
+            return not self._feed.has_reader_before(own_address)
         state, seconds = self._feed.state()
         if state is FeedState.CURRENT:
             return False
--- a/src/cassiashore/_internal/mirror/instances.py
+++ b/src/cassiashore/_internal/mirror/instances.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cassiashore._internal.mirror.ended_runs import EndedRuns
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.models.decode_errors import DECODE_ERRORS
 from cassiashore._internal.models.hashing import hash64
@@ -48,6 +49,13 @@
             {}
         )
         self._leaving: set[str] = set()
+        self._ended_runs = EndedRuns()
+
+    def record_met(self, identity: Identity) -> None:
+        """Record the run that proved its identity at its peer address, on a stream to it."""
+        registered = (record.identity for record in self.record_by_incarnation.values())
+        if self._ended_runs.record_met(identity, registered):
+            self._clear_caches()
 
     def mark_leaving(self, incarnation: str) -> bool:
         """Record that an instance announced its shutdown; return whether that was unknown.
@@ -88,6 +96,7 @@
         self._clear_caches()
         if value is None:
             self._leaving.discard(incarnation)
+            self._ended_runs.forget(incarnation)
             if self.record_by_incarnation.pop(incarnation, None) is not None:
                 self.on_change("gone", incarnation)
             return
@@ -209,7 +218,13 @@
         known = self._split_by_min_readers.get(min_readers)
         if known is not None:
             return known
-        candidates = [r for r in self._not_leaving().values() if not self._is_replaced_run(r)]
+        not_leaving = self._not_leaving()
+        current = self._ended_runs.current(r.identity for r in not_leaving.values())
+        candidates = [
+            record
+            for incarnation, record in not_leaving.items()
+            if incarnation in current and not self._is_replaced_run(record)
+        ]
         records = sorted(candidates, key=lambda r: hash64(r.identity.incarnation))
         by_region: dict[str, InstanceRecord] = {}
         for record in records:
--- a/src/cassiashore/_internal/mirror/relay.py
+++ b/src/cassiashore/_internal/mirror/relay.py
@@ -124,6 +124,7 @@
             logger.debug("handshake with a subscriber failed: %s", error)
             self._accepted.discard(writer)
             return
+        self._instances.record_met(link.peer)
         try:
             while True:
                 self._handle_subscriber_message(link, await link.receive())
@@ -213,18 +214,24 @@
     # Receiving from sources.
 
     def _follow_sources(self) -> None:
+        """Subscribe to the selected sources; leave the others once one of these is connected."""
         addresses = self._select_sources()
+        if addresses is None:
+            return
         self._source_addresses = [str(address) for address in addresses]
         for address in addresses:
             if address not in self._task_by_source:
                 self._task_by_source[address] = asyncio.create_task(self._follow(address))
+        if addresses and not any(address in self._link_by_source for address in addresses):
+            return
         for address in [a for a in self._task_by_source if a not in addresses]:
             self._task_by_source.pop(address).cancel()
 
-    def _select_sources(self) -> list[Address]:
-        """Return the addresses of the sources, preferred ones first.
+    def _select_sources(self) -> list[Address] | None:
+        """Return the addresses of the sources, preferred ones first; none for a reader.
 
-        While the mirror is empty and no instances are known, these are seeds.
+        While the mirror is empty and no instances are known, these are seeds. None means that the
+        present sources stay, since no other ones are known.
         """
         own = self._instances.own
         readers = self._instances.store_readers(MIN_READERS)
@@ -238,7 +245,7 @@
             sources = tree.sources_of(own, self._region_distance)
         if not sources:
             if self._mirror.is_filled:
-                return []
+                return None
             seeds = [s for s in self._seeds if str(s) != own.identity.peer_address]
             return seeds[:MAX_BOOT_SOURCES]
         return [Address.parse(r.identity.peer_address) for r in sources[:MAX_SOURCES]]
@@ -260,6 +267,7 @@
         """Subscribe to a source and receive until the stream ends, which raises an error."""
         link = await links.dial(address, self._own, self._key)
         logger.info("subscribed to %s at %s", link.peer.instance, address)
+        self._instances.record_met(link.peer)
         self._link_by_source[address] = link
         try:
             await self._receive(link)
--- a/src/cassiashore/_internal/peers/messages.py
+++ b/src/cassiashore/_internal/peers/messages.py
@@ -215,7 +215,8 @@
     ``is_direct`` means that the sender itself reads the store and gets responses. ``seen`` is the
     store call, by the sender or another instance, that this is based on; ``store_is_unreachable``
     means that the call got no response. Heartbeats of earlier releases do not name the call, and
-    nothing is concluded from them.
+    nothing is concluded from them. ``is_fallback`` means that the sender reads the store only until
+    an instance does that is meant to.
     """
 
     revision: int
@@ -223,6 +224,7 @@
     is_direct: bool = False
     seen: StoreContact | None = None
     store_is_unreachable: bool = False
+    is_fallback: bool = False
 
 
 class LeaveNotice(_Message, frozen=True, tag=20):
--- a/src/cassiashore/platform/node.py
+++ b/src/cassiashore/platform/node.py
@@ -174,7 +174,7 @@
         )
         self.relay.freshness.is_failing = lambda: self.follower.is_failing
         self.relay.freshness.has_store_access = lambda: self.follower.has_store_access
-        self.relay.is_fallback_reader = (
+        self.relay.is_fallback_reader = self.relay.freshness.is_fallback_reader = (
             lambda: self.follower.is_fallback_reader and self.follower.has_store_access
         )
         self.relay.renewals.renew = self._renew_for_peer
