Let a reader of the store go on until another instance reads it

Change: an instance that reads the store leaves it only to one that reads it, whatever role it had. This is the rule that fallback readers followed already.

test_a_reader_goes_on_until_another_instance_reads_the_store failed before.

--- a/src/cassiashore/_internal/mirror/follower.py
+++ b/src/cassiashore/_internal/mirror/follower.py
@@ -100,8 +100,12 @@
         return is_reader or self.is_fallback_reader
 
     def _should_read_as_fallback(self) -> bool:
-        """Whether this instance reads the store in place of the readers."""
-        if self.is_fallback_reader and not self.is_failing:
+        """Whether this instance reads the store in place of the readers.
+
+        An instance that reads the store goes on until another one does. Its sources may be current
+        by its own reports only.
+        """
+        if self.has_store_access:
             own_address = self._instances.own.identity.peer_address
             return not self._feed.has_reader_before(own_address)
         state, seconds = self._feed.state()
--- a/tests/unit/test_ended_runs.py
+++ b/tests/unit/test_ended_runs.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import time
 
 import pytest
+from result import Ok
 
 from cassiashore._internal.mirror.feed_health import REPORT_TTL_SECONDS, FeedHealth
+from cassiashore._internal.mirror.follower import StoreFollower
 from cassiashore._internal.mirror.instances import InstanceRecord, InstanceTable, encode_record
 from cassiashore._internal.mirror.relay import HEARTBEAT_INTERVAL_SECONDS
 from cassiashore._internal.peers.messages import Identity
@@ -139,3 +143,48 @@
         follower.stop()
 
     run(test)
+
+
+class AnsweringStore:
+    """A store without changes, which answers each call."""
+
+    async def watch(self, after: int, wait_seconds: float) -> Ok[ChangeBatch]:
+        await asyncio.sleep(0.01)
+        return Ok(ChangeBatch(after, after, []))
+
+
+def test_a_reader_goes_on_until_another_instance_reads_the_store() -> None:
+    """A reader that leaves stopped at once, since its followers passed its own reports back.
+
+    Its successors could not reach the store, and a draining target got requests for 2.6 s.
+    """
+
+    async def test() -> None:
+        peer = Peer("a", [])
+        peer.mirror.replace(Snapshot(5, []))
+        feed = FeedHealth(time.monotonic)
+        own_key, own_value = peer.record.identity.incarnation, encode_record(peer.record)
+        peer.instances.apply_registration(own_key, own_value)
+        follower = StoreFollower(
+            AnsweringStore(),  # type: ignore[arg-type]
+            peer.mirror,
+            peer.instances,
+            feed,
+            False,
+            random.Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        await wait_until(lambda: follower.has_store_access and not follower.is_fallback_reader)
+        successor = Peer("b", [])
+        peer.instances.apply_registration(
+            successor.record.identity.incarnation, encode_record(successor.record)
+        )
+        feed.record_current(str(successor.address), is_direct=False)
+        peer.instances.apply_registration(own_key, None)
+        await wait_until(lambda: follower.is_fallback_reader)
+        assert follower.has_store_access
+        feed.record_current(str(successor.address), is_direct=True)
+        await wait_until(lambda: not follower.is_reading)
+        task.cancel()
+
+    run(test)
