--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -15,11 +14,11 @@
 
 from stand import (  # noqa: E402
     BOUNDS,
-    HEADERS_END,
-    Node,
     Place,
     Record,
+    SlowReader,
     Upstream,
+    connect_slowly,
     fields_of,
     has_trouble,
     manifest_of,
@@ -44,59 +43,6 @@
     writer.write(response_of(fields, upstream.upstream_id, ANSWER))
 
 
-class SlowReader:
-    """Reads answers, slowly at first."""
-
-    def __init__(self, record: Record, reader: asyncio.StreamReader) -> None:
-        """Begin to read slowly; ``fast_from`` is when that ends, by the monotonic clock."""
-        self.fast_from = time.monotonic() + STOP_AFTER_SECONDS + SLOW_SECONDS
-        self._record = record
-        self._reader = reader
-        self._data = bytearray()
-
-    async def _receive(self) -> None:
-        is_slow = time.monotonic() < self.fast_from
-        piece = await self._reader.read(SLOW_BYTES if is_slow else 1 << 16)
-        if not piece:
-            raise ConnectionError("the connection ended")
-        self._data += piece
-        if is_slow:
-            await asyncio.sleep(SLOW_PAUSE_SECONDS)
-
-    async def receive_answers(self) -> int:
-        """Read until all answers are there or the connection ends; return how many were whole."""
-        for number in range(REQUESTS):
-            try:
-                while HEADERS_END not in self._data:
-                    await self._receive()
-                head, _, rest = bytes(self._data).partition(HEADERS_END)
-                length = int(fields_of(head)["content-length"])
-                self._data = bytearray(rest)
-                while len(self._data) < length:
-                    await self._receive()
-            except ConnectionError as error:
-                held = len(self._data)
-                self._record.note(f"client got {held} bytes of answer {number}: {error}")
-                return number
-            del self._data[:length]
-            if fields_of(head).get("connection", "").lower() == "close":
-                # What was sent behind it counts as not read.
-                self._record.note(f"answer {number} closes the connection")
-                return REQUESTS
-            if b" 200 " not in head.split(b"\r\n")[0]:
-                self._record.note(f"client got {head!r}")
-        return REQUESTS
-
-
-async def connect(node: Node) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Connect with a receive buffer that doesn't grow."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (node.host, node.ports["front"]))
-    return await asyncio.open_connection(sock=sock, limit=SLOW_BYTES)
-
-
 async def case(record: Record) -> bool:
     """Return whether every request that was passed on to an upstream was answered."""
     place = Place(record, ZONES)
@@ -109,7 +55,7 @@
             place.register(upstream, "stock", zone)
         await asyncio.sleep(BOUNDS["stable-window-s"] + 1)
         node = place.nodes[0]
-        reader, writer = await connect(node)
+        reader, writer = await connect_slowly(node, RECEIVE_BUFFER_BYTES, SLOW_BYTES)
         started = time.monotonic()
         requests = [
             request_of("GET", f"/stock/{i}", secrets.token_hex(8), DEADLINE_MS, cookie=str(i))
@@ -117,7 +63,9 @@
         ]
         writer.write(b"".join(requests))
         record.note(f"client sends {REQUESTS} requests and reads slowly")
-        answers = asyncio.create_task(SlowReader(record, reader).receive_answers())
+        fast_from = started + STOP_AFTER_SECONDS + SLOW_SECONDS
+        slow = SlowReader(reader, fast_from, SLOW_BYTES, SLOW_PAUSE_SECONDS)
+        answers = asyncio.create_task(slow.receive_answers(REQUESTS))
         await asyncio.sleep(STOP_AFTER_SECONDS)
         ended = asyncio.create_task(node.process.wait()) if node.process else None
         if has_trouble():
@@ -128,9 +76,12 @@
         whole = await answers
         run = sum(len(upstream.runs) for upstream in place.upstreams)
         seconds = time.monotonic() - started
+        closing = [h for h in slow.heads if fields_of(h).get("connection", "").lower() == "close"]
+        record.note(f"{len(closing)} answers close the connection; {slow.held} bytes of the next")
         record.note(f"{run} requests ran, {whole} were answered, after {seconds:.2f} s")
         writer.close()
-        return run <= whole
+        # What was sent behind an answer that closes the connection counts as not read.
+        return run <= whole or bool(closing)
     finally:
         await place.stop()
 
--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -400,6 +400,62 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+class SlowReader:
+    """Reads answers slowly until a time by the monotonic clock, and then as fast as it can."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, fast_from: float, piece: int, pause: float
+    ) -> None:
+        """Read ``piece`` bytes and pause for ``pause`` seconds while reading slowly."""
+        self.heads: list[bytes] = []
+        self.held = 0
+        self._reader = reader
+        self._fast_from = fast_from
+        self._piece = piece
+        self._pause = pause
+        self._data = bytearray()
+
+    async def receive_answers(self, most: int) -> int:
+        """Return how many answers came whole, until ``most`` or the end of the connection."""
+        try:
+            while len(self.heads) < most:
+                self.heads.append(await self._receive_answer())
+        except ConnectionError:
+            self.held = len(self._data)
+        return len(self.heads)
+
+    async def _receive_answer(self) -> bytes:
+        while HEADERS_END not in self._data:
+            await self._receive()
+        head, _, rest = bytes(self._data).partition(HEADERS_END)
+        length = int(fields_of(head)["content-length"])
+        self._data = bytearray(rest)
+        while len(self._data) < length:
+            await self._receive()
+        del self._data[:length]
+        return head
+
+    async def _receive(self) -> None:
+        is_slow = time.monotonic() < self._fast_from
+        piece = await self._reader.read(self._piece if is_slow else 1 << 16)
+        if not piece:
+            raise ConnectionError("the connection ended")
+        self._data += piece
+        if is_slow:
+            await asyncio.sleep(self._pause)
+
+
+async def connect_slowly(
+    node: Node, buffer_bytes: int, piece: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect to the front of a machine with a receive buffer that doesn't grow."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (node.host, node.ports["front"]))
+    return await asyncio.open_connection(sock=sock, limit=piece)
+
+
 def run_case(folder: Path, case: Callable[[Record], Awaitable[bool]], seconds: float) -> None:
     """Run a case, which returns whether the rule held, and exit with its result."""
     record = Record(folder)
