--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,15 @@
-"""A client that reads slowly has its answers cut off when its machine is stopped."""
+"""Orders of popular items, while some upstreams lose answers for four seconds."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
-import signal
+import socket
+import struct
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -14,14 +17,16 @@
 
 from stand import (  # noqa: E402
     BOUNDS,
+    HEADERS_END,
+    CannotRunError,
+    Node,
     Place,
     Record,
-    SlowReader,
     Upstream,
-    connect_slowly,
     fields_of,
     has_trouble,
     manifest_of,
+    read_body,
     request_of,
     response_of,
     route,
@@ -29,62 +34,123 @@
 )
 
 ZONES = {"erie-a": "erie", "huron-a": "huron", "superior-a": "superior"}
-REQUESTS = 30  # sent before the first is answered
-ANSWER = bytes(range(256)) * 1000
-STOP_AFTER_SECONDS = 0.5  # when all of them have long run
-SLOW_SECONDS = 3.5  # of slow reading after that; the grace period is 6 s
-SLOW_BYTES, SLOW_PAUSE_SECONDS = 20_000, 0.1  # read at once, and the pause after it
-RECEIVE_BUFFER_BYTES = 65_536
-DEADLINE_MS = 6000
+UPSTREAMS = 10
+LOSSY_UPSTREAMS = 6  # share 0.6
+LOST_SHARE = 0.4
+LOSS_SECONDS = 4.0
+CALM_SECONDS = 4.0  # before
+LATER_SECONDS = 15.0
+WORK_SECONDS = 0.04
+ITEMS = 16
+CLIENTS = 36
+ORDERS_PER_SECOND = 300
+DEADLINE_MS = 2500
+PROMISES = frozenset({408, 421, 429})
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-async def answer(upstream: Upstream, fields: dict[str, str], writer: asyncio.StreamWriter) -> None:
-    """Answer at once."""
-    writer.write(response_of(fields, upstream.upstream_id, ANSWER))
+class Shop:
+    """What upstreams do, and what clients got."""
+
+    def __init__(self, record: Record) -> None:
+        """Begin without trouble."""
+        self.record = record
+        self.loses_answers = False
+        self.lost = 0
+        self.statuses: Counter[int] = Counter()
+        self.refused_items: Counter[int] = Counter()
+        self.last_refusal = 0.0
+        self._random = random.Random()
+
+    async def answer(
+        self, upstream: Upstream, fields: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Run an order; reset the connection in place of some answers."""
+        await asyncio.sleep(WORK_SECONDS)
+        is_lossy = int(upstream.upstream_id.removeprefix("i-")) < LOSSY_UPSTREAMS
+        if self.loses_answers and is_lossy and self._random.random() < LOST_SHARE:
+            self.lost += 1
+            self.record.note(
+                f"the answer of {upstream.upstream_id} to "
+                f"{fields['x-cassiashore-request-id']} is lost"
+            )
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            writer.transport.abort()
+            return
+        writer.write(response_of(fields, upstream.upstream_id, b"ordered"))
+
+    async def order(self, node: Node, ends: float) -> None:
+        """Order one item after the other over a kept connection."""
+        while time.monotonic() < ends:
+            reader, writer = await asyncio.open_connection(node.host, node.ports["front"])
+            try:
+                while time.monotonic() < ends and await self._order_one(reader, writer):
+                    mean = CLIENTS / ORDERS_PER_SECOND
+                    await asyncio.sleep(mean * (0.5 + self._random.random()))
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self.record.note("a connection ended without an answer")
+            finally:
+                writer.close()
+
+    async def _order_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        item = self._random.randrange(ITEMS)
+        request_id = secrets.token_hex(8)
+        body = b'{"count": 1}'
+        path = f"/orders/{item}"
+        writer.write(request_of("POST", path, request_id, DEADLINE_MS, body, cookie=str(item)))
+        head = await reader.readuntil(HEADERS_END)
+        fields = fields_of(head)
+        content = await read_body(reader, fields)
+        status = int(head.split()[1])
+        self.statuses[status] += 1
+        if status != 200:
+            self.record.note(f"client got for {request_id} {path}: {status} {content!r}")
+        if 400 <= status < 500 and status not in PROMISES:
+            self.refused_items[item] += 1
+            self.last_refusal = time.monotonic()
+        return fields.get("connection", "").lower() != "close"
 
 
 async def case(record: Record) -> bool:
-    """Return whether every request that was passed on to an upstream was answered."""
+    """Return whether no more orders than allowed were ended with a 4xx of the system."""
     place = Place(record, ZONES)
     try:
-        stock = route("stock", "safe", **{"timeout-s": 6})
-        await place.start(list(ZONES), manifest_of({"stock": stock}))
-        for index, zone in enumerate([*ZONES, *ZONES]):
-            upstream = Upstream(f"i-{index}", record, answer)
+        await place.start(list(ZONES), manifest_of({"orders": route("orders", "unsafe")}))
+        shop = Shop(record)
+        zones = list(ZONES)
+        for index in range(UPSTREAMS):
+            upstream = Upstream(f"i-{index}", record, shop.answer)
             await upstream.start("127.0.0.1")
-            place.register(upstream, "stock", zone)
+            place.register(upstream, "orders", zones[index % len(zones)])
         await asyncio.sleep(BOUNDS["stable-window-s"] + 1)
-        node = place.nodes[0]
-        reader, writer = await connect_slowly(node, RECEIVE_BUFFER_BYTES, SLOW_BYTES)
-        started = time.monotonic()
-        requests = [
-            request_of("GET", f"/stock/{i}", secrets.token_hex(8), DEADLINE_MS, cookie=str(i))
-            for i in range(REQUESTS)
+        ends = time.monotonic() + CALM_SECONDS + LOSS_SECONDS + LATER_SECONDS
+        clients = [
+            asyncio.create_task(shop.order(place.nodes[i % len(place.nodes)], ends))
+            for i in range(CLIENTS)
         ]
-        writer.write(b"".join(requests))
-        record.note(f"client sends {REQUESTS} requests and reads slowly")
-        fast_from = started + STOP_AFTER_SECONDS + SLOW_SECONDS
-        slow = SlowReader(reader, fast_from, SLOW_BYTES, SLOW_PAUSE_SECONDS)
-        answers = asyncio.create_task(slow.receive_answers(REQUESTS))
-        await asyncio.sleep(STOP_AFTER_SECONDS)
-        ended = asyncio.create_task(node.process.wait()) if node.process else None
-        if has_trouble():
-            node.send_signal(signal.SIGTERM)
-            record.note(f"SIGTERM to {node.name}")
-        await asyncio.sleep(SLOW_SECONDS)
-        record.note(f"{node.name} has ended: {ended is not None and ended.done()}")
-        whole = await answers
-        run = sum(len(upstream.runs) for upstream in place.upstreams)
-        seconds = time.monotonic() - started
-        closing = [h for h in slow.heads if fields_of(h).get("connection", "").lower() == "close"]
-        record.note(f"{len(closing)} answers close the connection; {slow.held} bytes of the next")
-        record.note(f"{run} requests ran, {whole} were answered, after {seconds:.2f} s")
-        writer.close()
-        # What was sent behind an answer that closes the connection counts as not read.
-        return run <= whole or bool(closing)
+        await asyncio.sleep(CALM_SECONDS)
+        shop.loses_answers = has_trouble()
+        record.note(f"answers get lost: {shop.loses_answers}")
+        await asyncio.sleep(LOSS_SECONDS)
+        shop.loses_answers = False
+        healed = time.monotonic()
+        record.note("no answer gets lost any more")
+        await asyncio.gather(*clients)
+        total = shop.statuses.total()
+        denied = shop.refused_items.total()
+        allowed = 5 + total / 500
+        record.note(f"{shop.lost} answers lost; {total} orders ended: {dict(shop.statuses)}")
+        record.note(f"refused for good, by item: {dict(shop.refused_items)}")
+        record.note(f"{denied} ended with a 4xx of the system, {allowed:.1f} allowed")
+        if denied:
+            record.note(f"the last {shop.last_refusal - healed:.1f} s after the end of the trouble")
+        if has_trouble() and not shop.lost:
+            raise CannotRunError("no answer was lost")
+        return denied <= allowed
     finally:
         await place.stop()
 
 
 if __name__ == "__main__":
-    run_case(HERE, case, 60)
+    run_case(HERE, case, 100)
