Count a lost connection as a crash only if its target ended

No target had crashed.

Cause: each new connection that was lost before a response counted as a crash of its target, without a look at the target. Three lost answers of one item in a row suspended it, and nothing could clear it meanwhile. For kept connections the only question was whether a new connection fails, which is also "no" for a target that was started again at once.

Change: requests/loss_checks.py finds out whether the run of the target ended: it opens a connection, looks for connections from before the loss, and, if these do not decide, watches the registration. Only an ended run counts. Retries and equal requests wait for a check in progress, so that requests that crash targets are bounded as before.

Ruled out: the count itself. Losses side by side still count once, and reports of others are merged as before.

Tests that were wrong: test_a_request_that_crashes_targets_is_blocked and test_a_response_clears_the_crashes_of_a_request let a target reset one connection and listen on, which is a lost answer. Their targets now end all connections and refuse new ones; the limits are the same.

--- a/src/cassiashore/_internal/cli/operator_client.py
+++ b/src/cassiashore/_internal/cli/operator_client.py
@@ -41,7 +41,7 @@
     async def _call(self, method: str, path: str, body: bytes) -> Result[CallResponse, str]:
         opened = await connect(self.address, CALL_SECONDS)
         if isinstance(opened, Err):
-            return opened
+            return Err(opened.err_value.detail)
         connection = opened.ok_value
         headers = [
             (b"host", str(self.address).encode()),
--- a/src/cassiashore/_internal/ingress/attempt_results.py
+++ b/src/cassiashore/_internal/ingress/attempt_results.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
@@ -12,6 +11,7 @@
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
+from cassiashore._internal.requests.loss_checks import LossChecks, TargetRun
 from cassiashore._internal.requests.poison import LossCount, PoisonRegistry
 from cassiashore._internal.steering.load import parse_load_report
 from cassiashore._internal.steering.pace import ServicePaces
@@ -20,8 +20,8 @@
 
 NO_TARGET_RETRY_SECONDS = 0.5  # about the time until a change in the store is received
 SERVER_ERROR = 500
-REFUSAL_CHECK_SECONDS = 1.0  # to connect to a target that may have crashed
 _UNSENT_REASONS = frozenset({Reason.TARGET_UNREACHABLE, Reason.NO_CAPACITY})
+_LOSS_REASONS = frozenset({Reason.TARGET_FAILED, Reason.CONNECTION_DROPPED})
 
 
 class AttemptResults:
@@ -32,19 +32,20 @@
         header_names: HeaderNames,
         placement: Placement,
         poison: PoisonRegistry,
+        loss_checks: LossChecks,
         decisions: DecisionLog,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
-        """Create a recorder without state of its own, except for checks in progress."""
+        """Create a recorder without state of its own."""
         self._header_names = header_names
         self._placement = placement
         self._poison = poison
+        self._loss_checks = loss_checks
         self._decisions = decisions
         self._metrics = metrics
         self._rng = rng
         self.paces = ServicePaces()
-        self._refusal_check_by_run: dict[str, asyncio.Task[bool]] = {}
 
     def record_failure(
         self,
@@ -72,31 +73,14 @@
         if failure.reason is Reason.NO_CAPACITY:
             call.retry_after = NO_TARGET_RETRY_SECONDS * (1 + self._rng.random())
             return
-        if failure.reason is Reason.TARGET_FAILED:
-            self._poison.record_loss(call.fingerprint, target.run, losses_before)
-        elif failure.reason is Reason.CONNECTION_DROPPED:
-            self._poison.record_ambiguous_loss(call.fingerprint)
-            self._record_loss_if_refused(call.fingerprint, target, losses_before)
+        if failure.reason in _LOSS_REASONS:
+            was_idle = failure.reason is Reason.CONNECTION_DROPPED
+            call.lost_idle_connection |= was_idle
+            run = TargetRun(target.run, target.pool, lambda: target.presence)
+            self._loss_checks.start(call.fingerprint, run, losses_before, was_idle=was_idle)
         if target.health.record_failure() or failure.reason is Reason.TARGET_UNREACHABLE:
             self._eject(target, failure.detail)
 
-    def _record_loss_if_refused(
-        self, fingerprint: int, target: RegisteredTarget, losses_before: LossCount
-    ) -> None:
-        """Record the loss of a reused connection, if the target also refuses a new one."""
-        run = target.run
-        check = self._refusal_check_by_run.get(run)
-        if check is None:
-            check = asyncio.create_task(target.pool.refuses_connections(REFUSAL_CHECK_SECONDS))
-            check.add_done_callback(lambda _: self._refusal_check_by_run.pop(run, None))
-            self._refusal_check_by_run[run] = check
-
-        def record(done: asyncio.Task[bool]) -> None:
-            if not done.cancelled() and done.result():
-                self._poison.record_loss(fingerprint, run, losses_before, was_idle=True)
-
-        check.add_done_callback(record)
-
     def _eject(self, target: RegisteredTarget, why: str) -> None:
         """Eject a target: send no requests to it for some time."""
         now = time.monotonic()
--- a/src/cassiashore/_internal/ingress/attempts.py
+++ b/src/cassiashore/_internal/ingress/attempts.py
@@ -34,6 +34,8 @@
 from cassiashore._internal.ingress.load_probe import LoadProbe
 from cassiashore._internal.ingress.target_admission import TargetAdmission
 from cassiashore._internal.models.outcome import Failure, Outcome, Reason
+from cassiashore._internal.models.presence import Presence
+from cassiashore._internal.requests.loss_checks import LossChecks
 from cassiashore._internal.requests.poison import PoisonRegistry
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.hedging import (
@@ -68,6 +70,7 @@
         distances: RegionDistances,
         admission: TargetAdmission,
         poison: PoisonRegistry,
+        loss_checks: LossChecks,
         make_budget: Callable[[], WindowedRetryBudget],
         results: AttemptResults,
         rng: random.Random,
@@ -80,6 +83,7 @@
         self._distances = distances
         self._admission = admission
         self._poison = poison
+        self._loss_checks = loss_checks
         self._make_budget = make_budget
         self._results = results
         self._load_probe = LoadProbe(header_names)
@@ -129,6 +133,8 @@
                         error_delivery = delivery
                     else:
                         call.record_failure(outcome.err_value)
+                    if not running:
+                        await self._loss_checks.settle(call.fingerprint)
                     if not running and self._may_retry(call, outgoing, outcome):
                         retry = self._start_attempt(call, outgoing)
                         if isinstance(retry, Ok):
@@ -329,7 +335,9 @@
                 self._header_names,
                 call.deadline,
                 round_trip,
-                needs_new_connection=self._poison.is_suspicious(call.fingerprint),
+                needs_new_connection=(
+                    call.lost_idle_connection or self._poison.is_suspicious(call.fingerprint)
+                ),
             )
         finally:
             target.load.in_flight -= 1
@@ -366,7 +374,8 @@
     ) -> Failure:
         status = response.head.status
         if execution_status is ExecutionStatus.OTHER_TARGET:
-            self._registry.remove(target.target_id, "another target has its address")
+            why = "another target has its address"
+            self._registry.remove(target.target_id, why, Presence.SUPERSEDED)
             return Failure.not_run(Reason.ANOTHER_TARGET, f'"{target.target_id}" is gone')
         if execution_status is ExecutionStatus.NOT_RUN:
             target.health.record_shed(time.monotonic())
--- a/src/cassiashore/_internal/ingress/call.py
+++ b/src/cassiashore/_internal/ingress/call.py
@@ -40,10 +40,11 @@
     """State of a request that is being forwarded.
 
     ``deadline`` is the time of the final response to the caller, by the monotonic clock.
-    ``may_have_run`` counts the sends that may have run the request. ``deliveries`` are the
-    responses of all targets, one of which is passed to the caller. ``has_object`` is set if ``key``
-    identifies an object, and not just this request. ``authorization`` is that of the last attempt,
-    or of the arrival of the request.
+    ``may_have_run`` counts the sends that may have run the request. ``lost_idle_connection`` is set
+    if an attempt lost a connection that had been idle; other idle ones may be closed as well.
+    ``deliveries`` are the responses of all targets, one of which is passed to the caller.
+    ``has_object`` is set if ``key`` identifies an object, and not just this request.
+    ``authorization`` is that of the last attempt, or of the arrival of the request.
     """
 
     request: IngressRequest
@@ -59,6 +60,7 @@
     sends: int = 0
     may_have_run: int = 0
     unreachable: int = 0
+    lost_idle_connection: bool = False
     tried_target_ids: set[str] = field(default_factory=set)
     steps: list[list[object]] = field(default_factory=list)
     reported_failure: Failure | None = None
--- a/src/cassiashore/_internal/ingress/forwarder.py
+++ b/src/cassiashore/_internal/ingress/forwarder.py
@@ -40,6 +40,7 @@
 from cassiashore._internal.observability.logs import DecisionLog
 from cassiashore._internal.observability.metrics import Metrics
 from cassiashore._internal.proxy.headers import end_to_end
+from cassiashore._internal.requests.loss_checks import LossChecks
 from cassiashore._internal.requests.poison import PoisonRegistry, fingerprint
 from cassiashore._internal.steering.distance import RegionDistances
 from cassiashore._internal.steering.overload import MIN_RETRY_SECONDS
@@ -103,6 +104,7 @@
         self._header_names = header_names
         self._metrics = metrics
         self._poison = poison
+        self._loss_checks = LossChecks(poison, decisions)
         self._response_sender = ResponseSender(header_names, decisions, metrics)
         self._split_chooser = SplitChooser()
         self._attempts = AttemptRunner(
@@ -113,8 +115,11 @@
             distances,
             admission,
             poison,
+            self._loss_checks,
             make_budget,
-            AttemptResults(header_names, placement, poison, decisions, metrics, rng),
+            AttemptResults(
+                header_names, placement, poison, self._loss_checks, decisions, metrics, rng
+            ),
             rng,
         )
         self._own_request_headers = frozenset(
@@ -217,6 +222,7 @@
             return
         outgoing = read.ok_value
         call = self._build_call(arrival, outgoing, deadline)
+        await self._loss_checks.settle(call.fingerprint)
         if not self._poison.try_admit(call.fingerprint):
             failure = Failure.not_run(Reason.POISONOUS, "this request has crashed targets")
             self._refuse_arrival(arrival, responder, failure)
--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,6 +30,7 @@
 SWITCHING_PROTOCOLS = 101  # answers an offer to upgrade, which is never made
 MIN_FINAL_STATUS = 200  # lower ones are interim responses
 _BODILESS_STATUSES = frozenset({204, 304})
+_REFUSALS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
 KEEP_ALIVE_PROBE_SECONDS = 1  # the shortest interval that the kernel supports
 KEEP_ALIVE_PROBES = 3  # lost probes before the connection is closed
 
@@ -53,6 +55,14 @@
 Accept = Callable[[ResponseHead], bool]
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectFailure:
+    """Why a connection could not be opened; ``is_refused`` is set if the host answered."""
+
+    detail: str
+    is_refused: bool = False
+
+
 class HttpConnection(asyncio.Protocol):
     """A client connection to an HTTP/1.1 server.
 
@@ -390,16 +400,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
 
-async def connect(address: Address, timeout: float) -> Result[HttpConnection, str]:
-    """Open a connection within ``timeout`` seconds; the error is the reason of the failure."""
+async def connect(address: Address, timeout: float) -> Result[HttpConnection, ConnectFailure]:
+    """Open a connection within ``timeout`` seconds."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, connection = await loop.create_connection(HttpConnection, address.host, address.port)
     except TimeoutError:
-        return Err(f"connecting to {address} took over {timeout:g} s")
+        return Err(ConnectFailure(f"connecting to {address} took over {timeout:g} s"))
     except OSError as error:
-        return Err(f"connecting to {address} failed: {error.strerror or error}")
+        detail = f"connecting to {address} failed: {error.strerror or error}"
+        return Err(ConnectFailure(detail, error.errno in _REFUSALS))
     return Ok(connection)
 
 
--- a/src/cassiashore/_internal/net/pool.py
+++ b/src/cassiashore/_internal/net/pool.py
@@ -5,15 +5,24 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 
 from result import Err, Ok, Result
 
 from cassiashore._internal.models.address import Address
-from cassiashore._internal.net.http_client import HttpConnection, connect
+from cassiashore._internal.net.http_client import ConnectFailure, HttpConnection, connect
 
 DEFAULT_IDLE_SECONDS = 4.0  # below the 5 s after which common servers close idle connections
 
 
+class Probe(Enum):
+    """What an attempt to open a connection shows about the server at an address."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
 class ConnectionPool:
     """Connections to one address.
 
@@ -36,6 +45,7 @@
         self.idle_seconds = idle_seconds
         self._monotonic = monotonic
         self._idle: deque[HttpConnection] = deque()
+        self._opened_at_by_connection: dict[HttpConnection, float] = {}
 
     @property
     def is_full(self) -> bool:
@@ -64,18 +74,30 @@
             self.discard(self._idle.popleft())
         if self.open >= self.limit:
             return Err(f"{self.address} already has {self.limit} connections")
-        return await self._open(connect_timeout)
+        opened = await self._open(connect_timeout)
+        return opened.map_err(lambda failure: failure.detail)
 
-    async def refuses_connections(self, connect_timeout: float) -> bool:
-        """Return whether a new connection fails; one that opens is kept for the next request."""
+    async def probe(self, connect_timeout: float) -> Probe:
+        """Open a connection, and keep it for the next request.
+
+        If the limit is reached, the server has accepted all connections, and none is opened.
+        """
         if self.open >= self.limit:
-            return False
+            return Probe.ACCEPTED
         opened = await self._open(connect_timeout)
-        if isinstance(opened, Ok):
-            self.release(opened.ok_value)
-        return isinstance(opened, Err)
-
-    async def _open(self, connect_timeout: float | None) -> Result[HttpConnection, str]:
+        if isinstance(opened, Err):
+            return Probe.REFUSED if opened.err_value.is_refused else Probe.UNREACHABLE
+        self.release(opened.ok_value)
+        return Probe.ACCEPTED
+
+    def has_connection_from_before(self, moment: float) -> bool:
+        """Return whether a connection that was opened before ``moment`` is still open."""
+        return any(
+            opened_at < moment and connection.usable
+            for connection, opened_at in self._opened_at_by_connection.items()
+        )
+
+    async def _open(self, connect_timeout: float | None) -> Result[HttpConnection, ConnectFailure]:
         self.open += 1
         is_open = False
         try:
@@ -84,6 +106,8 @@
         finally:
             if not is_open:
                 self.open -= 1
+        if isinstance(outcome, Ok):
+            self._opened_at_by_connection[outcome.ok_value] = self._monotonic()
         return outcome
 
     def release(self, connection: HttpConnection) -> None:
@@ -97,6 +121,7 @@
     def discard(self, connection: HttpConnection) -> None:
         """Close a connection that was acquired."""
         self.open -= 1
+        self._opened_at_by_connection.pop(connection, None)
         connection.close()
 
     def close(self) -> None:
--- a/src/cassiashore/_internal/requests/poison.py
+++ b/src/cassiashore/_internal/requests/poison.py
@@ -6,8 +6,8 @@
 in a Lamport clock: attempts that ran side by side count once, over all instances. A response starts
 a new epoch without losses. Instances exchange epoch and count, and the higher ones win.
 
-A target may close an idle connection at any time, so the loss of a reused connection is ambiguous.
-It makes the request a suspect, whose next attempts use new connections.
+A loss counts once it is known that the target ended, which ``loss_checks`` finds out. As long as
+that is open, the request is a suspect, whose next attempts use new connections.
 """
 
 from __future__ import annotations
@@ -136,7 +136,7 @@
     def record_loss(
         self, fingerprint: int, target_run: str, before: LossCount, *, was_idle: bool = False
     ) -> int:
-        """Record that the connection of an attempt was lost; return the consecutive losses.
+        """Record that a target ended while it ran a request; return the consecutive losses.
 
         ``before`` is the count when the attempt began. ``was_idle`` tells that the connection was
         open before the attempt, so that it may be another loss of the same run of the target.
@@ -153,7 +153,7 @@
         return evidence.count.losses
 
     def record_ambiguous_loss(self, fingerprint: int) -> None:
-        """Record the loss of a reused connection, which the target may have closed while idle."""
+        """Record the loss of a connection whose target may have ended or may run on."""
         evidence = self._evidence_for(fingerprint)
         known = evidence.count
         if known.is_clear:
--- a/src/cassiashore/_internal/steering/registry.py
+++ b/src/cassiashore/_internal/steering/registry.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.models.presence import Presence
 from cassiashore._internal.net.pool import ConnectionPool
 from cassiashore._internal.routing.health import TargetHealth
 from cassiashore._internal.steering.load import TargetLoad
@@ -61,7 +62,7 @@
     cold_until: float = float("-inf")
     rate_limit: float | None = None
     is_evacuated: bool = False
-    is_gone: bool = False
+    presence: Presence = Presence.REGISTERED
     is_unconfirmed: bool = False
 
     @property
@@ -74,6 +75,11 @@
         """Return a name of this run of the target; a later run may have the same id."""
         return f"{self.target_id} {self.report.started_ms}"
 
+    @property
+    def is_gone(self) -> bool:
+        """Return whether the target is no longer registered, or only as a later run."""
+        return self.presence is not Presence.REGISTERED
+
     @property
     def accepts_requests(self) -> bool:
         """Return whether the target may get new requests, regardless of its load."""
@@ -132,12 +138,17 @@
         self._add(report, known)
         return True
 
-    def remove(self, target_id: str, why: str = "entry removed") -> None:
+    def remove(
+        self,
+        target_id: str,
+        why: str = "entry removed",
+        presence: Presence = Presence.REMOVED,
+    ) -> None:
         """Remove a target; requests in flight to it continue."""
         target = self.target_by_id.pop(target_id, None)
         if target is None:
             return
-        target.is_gone = True
+        target.presence = presence
         service_targets = self.targets_by_service[target.report.service]
         service_targets.remove(target)
         if self._id_by_address.get(target.report.address) == target_id:
@@ -198,7 +209,7 @@
 
     def _add(self, report: TargetReport, known: RegisteredTarget | None) -> None:
         if known is not None:
-            self.remove(report.target_id, "started again")
+            self.remove(report.target_id, "started again", Presence.SUPERSEDED)
         holder_id = self._id_by_address.get(report.address)
         if holder_id is not None:
             other = self.target_by_id[holder_id].report
@@ -210,7 +221,7 @@
                     report.address,
                 )
                 return
-            self.remove(holder_id, "address taken over")
+            self.remove(holder_id, "address taken over", Presence.SUPERSEDED)
         region = self.region_by_failure_domain.get(report.failure_domain, "")
         target = RegisteredTarget(report, region, self._make_pool(report.address))
         target.is_evacuated = report.failure_domain in self.evacuated
--- a/tests/lib/deadly_requests.py
+++ b/tests/lib/deadly_requests.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -19,10 +20,12 @@
 from tests.lib.ingress import RawClient
 
 DEADLY_PREFIX = "/a/deadly-"
+ORDER_PREFIX = "/b/item-"
 ADDED_TARGETS = 6  # beside the six that the environment starts for each service
 REPLACEMENT_SECONDS = 3.0  # until a crashed target is replaced by one under another id
 REQUEST_SECONDS = 4.0
 POISONOUS_STATUS = 422
+PROMISES = frozenset({408, 421, 429})  # statuses that promise that the request has not run
 
 
 @dataclass
@@ -33,6 +36,7 @@
     crashes_by_path: dict[str, list[float]] = field(default_factory=dict)
     refused_innocent: list[str] = field(default_factory=list)
     served_innocent: int = 0
+    order_statuses: Counter[int] = field(default_factory=Counter)
     _numbers: itertools.count[int] = field(default_factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -68,6 +72,29 @@
             self._spawn(self._send(f"/a/innocent-{number}"))
             await asyncio.sleep(interval)
 
+    async def send_orders(self, items: int, per_second: float) -> None:
+        """Send orders of popular items, which are equal for each item, until cancelled."""
+        while True:
+            self._spawn(self._order(self.environment.rng.randrange(items)))
+            await asyncio.sleep(1 / per_second)
+
+    def lose_answers(self, target_share: float, answer_share: float) -> None:
+        """Make a part of the targets of each service lose a part of their answers."""
+        for service in ("stock", "orders"):
+            handles = [
+                h for h in self.environment.target_by_id.values() if h.target.service == service
+            ]
+            for handle in handles[: round(target_share * len(handles))]:
+                handle.target.lost_response_share = answer_share
+
+    def denied_orders(self) -> int:
+        """Return how many orders were ended with a 4xx status that promises nothing."""
+        return sum(
+            count
+            for status, count in self.order_statuses.items()
+            if 400 <= status < 500 and status not in PROMISES
+        )
+
     async def kill_and_start(self, instances: list[Instance]) -> None:
         """Kill the processes of instances, and start them again at once."""
         for instance in instances:
@@ -82,16 +109,29 @@
         self.environment.unregister(self.environment.target_by_id[run.target_id])
         await self.environment.add_target(run.service, run.failure_domain)
 
-    async def _send(self, path: str) -> None:
+    async def _order(self, item: int) -> None:
+        path = f"{ORDER_PREFIX}{item}"
+        status = await self._ask(self._request(path, method="POST", key=f"item-{item}"))
+        if status is not None:
+            self.order_statuses[status] += 1
+
+    async def _ask(self, request: bytes) -> int | None:
+        """Send a request to any instance; return the status, or None without an answer."""
         instance = self.environment.rng.choice(list(self.environment.instance_by_name.values()))
         where = Address.parse(instance.listen["front"])
         try:
             async with asyncio.timeout(REQUEST_SECONDS):
                 client = RawClient(*await asyncio.open_connection(where.host, where.port))
-                client.send(self._request(path))
+                client.send(request)
                 status, _, _ = await client.receive()
                 client.close()
         except (OSError, TimeoutError, EOFError):
+            return None
+        return status
+
+    async def _send(self, path: str) -> None:
+        status = await self._ask(self._request(path))
+        if status is None:
             return
         if path.startswith(DEADLY_PREFIX):
             return
@@ -99,13 +139,15 @@
         if status == POISONOUS_STATUS:
             self.refused_innocent.append(path)
 
-    def _request(self, path: str) -> bytes:
+    def _request(self, path: str, method: str = "GET", key: str = "") -> bytes:
         lines = [
-            f"GET {path} HTTP/1.1",
+            f"{method} {path} HTTP/1.1",
             "Host: shop.example",
             f"{EDGE_HEADERS.request_id.decode()}: d-{next(self._numbers)}",
             f"{EDGE_HEADERS.deadline_ms.decode()}: {int(REQUEST_SECONDS * 1000)}",
         ]
+        if key:
+            lines += [f"Cookie: X-Cassiashore-Affinity-Key={key}", "Content-Length: 0"]
         return "\r\n".join([*lines, "", ""]).encode()
 
     def _spawn(self, work: object) -> None:
@@ -121,8 +163,13 @@
 
 
 @asynccontextmanager
-async def deadly_deployment(folder: Path, seed: int) -> AsyncIterator[DeadlyDeployment]:
-    """Start the deployment, and stop all its processes in the end."""
+async def deadly_deployment(
+    folder: Path, seed: int, services: tuple[str, ...] = ("stock",)
+) -> AsyncIterator[DeadlyDeployment]:
+    """Start the deployment, and stop all its processes in the end.
+
+    ``services`` names those that have twelve targets; the others have six.
+    """
     environment = SoakEnvironment(folder, random.Random(seed), 1)
     deployment = DeadlyDeployment(environment)
     environment.ledger.on_run = deployment.crash_target_of
@@ -130,7 +177,8 @@
         await environment.start()
         domains = itertools.cycle(("erie-a", "erie-b", "huron-a"))
         for domain in itertools.islice(domains, ADDED_TARGETS):
-            await environment.add_target("stock", domain)
+            for service in services:
+                await environment.add_target(service, domain)
         yield deployment
     finally:
         await deployment.close()
--- a/tests/lib/steering_builders.py
+++ b/tests/lib/steering_builders.py
@@ -134,9 +134,10 @@
     lost_connections: int = 0
     address: str = ""
     server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
-    async def start(self) -> FakeTarget:
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> FakeTarget:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self
@@ -147,8 +148,20 @@
         self.server.close()
         await asyncio.sleep(0)
 
+    def crash(self) -> None:
+        """Refuse new connections and reset all open ones, as when the process ends."""
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def start_again(self) -> None:
+        """Listen again at the same address."""
+        await self.start(int(self.address.rpartition(":")[2]))
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -157,6 +170,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.lost_connections += 1
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
--- a/tests/unit/test_ingress.py
+++ b/tests/unit/test_ingress.py
@@ -637,7 +637,7 @@
         async def crashes(
             _: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes
         ) -> None:
-            writer.transport.abort()
+            next(target for target in targets if writer in target.writers).crash()
 
         ingress = await start_ingress(table(route(kind=NON_IDEMPOTENT)))
         targets = await start_targets(ingress, *[crashes] * 6)
@@ -657,19 +657,18 @@
         ) -> None:
             heads.append(head)
             if len(heads) in (1, 2, 4, 5):
-                writer.transport.abort()
+                next(target for target in targets if writer in target.writers).crash()
             else:
                 writer.write(build_response(head))
 
         heads: list[bytes] = []
         ingress = await start_ingress(table(route(kind=NON_IDEMPOTENT)))
-        await start_targets(ingress, *[crashes_at_first] * 3)
+        targets = await start_targets(ingress, *[crashes_at_first] * 6)
         statuses = []
         for number in range(6):
-            for target in ingress.registry.target_by_id.values():
-                target.health.ejected_until = 0.0
             statuses.append((await ingress.ask(request(request_id=f"id-{number}")))[0])
         assert statuses == [502, 502, 200, 502, 502, 200]
+        assert len([target for target in targets if target.lost_connections]) == 4
 
     run(test)
 
