Daemon: count a lost connection as a crash only if its target ended

Callers got "poisonous" after two lost answers.

Targets of the catalogue have no registration, so one that was started again before the check counts as running.

Evidence: test_requests_whose_answers_are_lost_are_not_refused failed on the code before and passes now.

Test that was wrong: in test_a_request_that_crashes_targets_is_refused the stand-in dropped one connection and listened on, which is a lost answer. A stand-in that crashes now resets all its connections and refuses new ones for half a second; the limits of the test are the same.

--- a/src/cassiashore/_internal/cli/standin.py
+++ b/src/cassiashore/_internal/cli/standin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -13,9 +14,12 @@
 from cassiashore._internal.http.guard import GuardedProtocol
 from cassiashore._internal.http.server import HttpServer
 from cassiashore._internal.models.address import Address
+from cassiashore._internal.standins.crashing_server import CrashingServer
 from cassiashore._internal.standins.store import build_store_app
 from cassiashore._internal.standins.target import StandinTarget, TargetBehaviour
 
+CRASH_SECONDS = 0.5  # until a target that crashed is back
+
 
 class TargetProcessSpec(msgspec.Struct):
     """A target to run in a stand-in process."""
@@ -46,10 +50,12 @@
 
 
 async def _serve_targets(specs: list[TargetProcessSpec]) -> None:
-    servers = []
+    servers: list[HttpServer] = []
     for spec in specs:
         target: Any = StandinTarget(spec.name, spec.slots, spec.behaviour)
-        servers.append(HttpServer(target, Address.parse(spec.address), GuardedProtocol))
+        server = CrashingServer(target, Address.parse(spec.address), GuardedProtocol)
+        target.crash = partial(server.crash, CRASH_SECONDS)
+        servers.append(server)
     await _serve_until_signal(servers)
 
 
--- a/src/cassiashore/_internal/http/server.py
+++ b/src/cassiashore/_internal/http/server.py
@@ -42,16 +42,19 @@
 
     async def start(self) -> None:
         """Listen; raise ``OSError`` when the address is in use."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._bind()]))
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+            await asyncio.sleep(0.005)
+
+    def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((self._address.host, self._address.port))
         listener.listen(LISTEN_BACKLOG)
-        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
-        while not self._server.started:
-            if self._task.done():
-                await self._task
-            await asyncio.sleep(0.005)
+        return listener
 
     async def stop(self) -> None:
         """Stop listening, let running requests end, and close the connections."""
--- a/src/cassiashore/_internal/proxy/runner.py
+++ b/src/cassiashore/_internal/proxy/runner.py
@@ -37,6 +37,7 @@
 from cassiashore._internal.proxy.exchange import Exchange
 from cassiashore._internal.proxy.hop import Hop, HopKind, sign_hop
 from cassiashore._internal.proxy.responses import FailureReport
+from cassiashore._internal.requests.loss_checks import LossChecks, TargetRun
 from cassiashore._internal.requests.poison import CRASH_LIMIT, LossCount, PoisonRegistry
 from cassiashore._internal.requests.retry import RetryBudget
 from cassiashore._internal.routing.finder import PlaceFinder
@@ -128,6 +129,7 @@
         self._shift = shift
         self._link_limiter = link_limiter
         self._poison = poison
+        self._loss_checks = LossChecks(poison, decisions)
         self._decisions = decisions
         self._metrics = metrics
         self._peer_key = peer_key
@@ -139,6 +141,7 @@
         if runtime is None:
             detail = f'service "{exchange.service.name}" has left the catalogue'
             return Err(Failure.not_run(Reason.UNKNOWN_SERVICE, detail))
+        await self._loss_checks.settle(exchange.fingerprint)
         if not self._poison.try_admit(exchange.fingerprint):
             detail = "this request has crashed targets"
             return Err(Failure.not_run(Reason.POISONOUS, detail))
@@ -153,6 +156,7 @@
             if isinstance(outcome, Ok):
                 return outcome
             progress.record_failure(outcome.err_value)
+            await self._loss_checks.settle(exchange.fingerprint)
             if not self._may_retry(exchange, runtime, place, progress, outcome.err_value):
                 break
         no_place = Failure.not_run(Reason.NO_CAPACITY, "no place can take the request")
@@ -363,8 +367,9 @@
         losses_before: LossCount,
     ) -> None:
         if failure.reason is Reason.TARGET_FAILED:
-            losses = self._poison.record_loss(exchange.fingerprint, state.target.key, losses_before)
-            if losses > 1:
+            run = TargetRun(state.target.key, state.connections)
+            self._loss_checks.start(exchange.fingerprint, run, losses_before)
+            if losses_before.losses > 0:
                 # A request that several targets failed on is itself at fault, not the target.
                 return
         if state.health.record_failure():
--- a/src/cassiashore/_internal/standins/target.py
+++ b/src/cassiashore/_internal/standins/target.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,7 +23,8 @@
 class TargetBehaviour(msgspec.Struct):
     """Behaviour of a target. Times are in milliseconds.
 
-    A request whose body contains ``crash_on`` makes the target drop the connection.
+    A request whose body contains ``crash_on`` makes the target crash, and one whose body contains
+    ``lose_on`` makes it drop the connection in place of the response.
     """
 
     service_ms: float = 5.0
@@ -38,6 +40,7 @@
     cold_requests: int = 0
     cold_ms: float = 0.0
     crash_on: str = ""
+    lose_on: str = ""
 
 
 class TargetCounts(msgspec.Struct):
@@ -52,6 +55,7 @@
     peak_running: int = 0
     over_slots: int = 0
     crashes: int = 0
+    lost: int = 0
     runs: dict[str, int] = msgspec.field(default_factory=dict)
 
 
@@ -64,6 +68,7 @@
     behaviour: TargetBehaviour = field(default_factory=TargetBehaviour)
     counts: TargetCounts = field(default_factory=TargetCounts)
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    crash: Callable[[], None] = lambda: None
 
     async def __call__(self, scope: Scope, receive: Any, send: Any) -> None:
         """Serve one request."""
@@ -118,6 +123,10 @@
         try:
             if behaviour.crash_on and behaviour.crash_on.encode() in body:
                 counts.crashes += 1
+                self.crash()
+                return
+            if behaviour.lose_on and behaviour.lose_on.encode() in body:
+                counts.lost += 1
                 scope[CONNECTION_KEY].transport.abort()
                 return
             if not await self._simulate_work(receive):
--- a/tests/functional/test_target_faults.py
+++ b/tests/functional/test_target_faults.py
@@ -25,6 +25,7 @@
 )
 
 DRAIN_SECONDS = 5.0
+START_AGAIN_SECONDS = 5.0  # after a crash
 
 
 @pytest.fixture(scope="module")
@@ -45,12 +46,21 @@
         truncate=False,
         chunked=False,
         crash_on="",
+        lose_on="",
         health_lies=False,
         service_ms=5.0,
     )
     time.sleep(0.8)
 
 
+def all_targets_listen(running: Deployment) -> bool:
+    try:
+        running.all_counts()
+    except OSError:
+        return False
+    return True
+
+
 def started(running: Deployment, target: dict[str, Any]) -> int:
     count: int = running.target_counts(target["address"])["started"]
     return count
@@ -153,12 +163,27 @@
         entry = entries[number % len(entries)]
         key = f"{ticket_of(running, entry)}.{number}"
         outcomes.append(post(entry, b"boom", {"cassiashore-request-key": key}))
+    assert wait_until(lambda: all_targets_listen(running), START_AGAIN_SECONDS)
     hit = total(running, "crashes") - crashes
     assert hit <= 3
     assert {reply.reason for reply in outcomes[-6:]} == {"poisonous"}
     assert {get(entry, "/healthy").outcome for entry in entries} == {"ran"}
 
 
+def test_requests_whose_answers_are_lost_are_not_refused(running: Deployment) -> None:
+    """Lost answers counted as crashes, although the targets ran on."""
+    set_all_targets(running, lose_on="lost")
+    lost = total(running, "lost")
+    entries = running.running()
+    replies = []
+    for number in range(12):
+        entry = entries[number % len(entries)]
+        key = f"{ticket_of(running, entry)}.lost-{number}"
+        replies.append(post(entry, b"lost", {"cassiashore-request-key": key}))
+    assert {reply.reason for reply in replies} == {"target-failed"}
+    assert total(running, "lost") - lost == len(replies)
+
+
 def test_slots_and_connections_hold_under_overload(running: Deployment) -> None:
     set_all_targets(running, service_ms=40)
     entries = running.running()
