Limit the header fields of a response

A target that sends short header fields without end made the instance that had called it exceed the memory of its machine: 337 MB after 109 requests, where the test allows 96 and the smallest machine has 200. With 60,000 bytes of fields and then silence it was 169 MB.

Cause: the bytes of a head were limited, the number of fields was not, and each field of five bytes takes about 30 times its size.

Change: a response with over 256 fields is malformed.

Ruled out: garbage, endless lines, interim heads, chunk extensions, trailers, bytes behind a response and a skipped body take 37 to 51 MB in the same test.

--- a/src/cassiashore/_internal/net/http_client.py
+++ b/src/cassiashore/_internal/net/http_client.py
@@ -26,6 +26,8 @@
 # skipped responses, chunk headers, trailers. Eight times what common servers allow for a head.
 MAX_NON_BODY_BYTES = 64 * 1024
 PARSE_CHUNK_BYTES = 64 * 1024  # so that the limit above also applies within one large read
+# Each field takes over a hundred bytes beside its text. Common servers send up to some dozens.
+MAX_HEAD_FIELDS = 256
 VALID_STATUSES = range(100, 600)
 SWITCHING_PROTOCOLS = 101  # answers an offer to upgrade, which is never made
 MIN_FINAL_STATUS = 200  # lower ones are interim responses
@@ -163,13 +165,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a response header."""
-        if self._complete or self._head_done:
+        if self._complete or self._head_done or self._error is not None:
             return  # drop trailers: the head was delivered without them
+        if len(self._head.headers) >= MAX_HEAD_FIELDS:
+            self._fail(f"the response has over {MAX_HEAD_FIELDS} header fields")
+            return
         self._head.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Deliver the head, unless it is an interim (1xx) one."""
-        if self._complete:
+        if self._complete or self._error is not None:
             return
         status = self._parser.get_status_code()
         if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
--- a/tests/lib/front_process.py
+++ b/tests/lib/front_process.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,14 +19,16 @@
 from cassiashore._internal.steering.routes import IngressLimits
 from cassiashore.platform.settings import SETTINGS_VARIABLE
 from cassiashore.platform.wire import EDGE_HEADERS, READY_PATH, RESOLVE_PATH
-from lab.platform_documents import LIMITS, entry
+from lab.platform_documents import LIMITS, entry, manifest_of
 from tests.lib.ingress import RawClient, request
-from tests.lib.platform_builders import manifest, running_store, settings
+from tests.lib.platform_builders import running_store, settings
 
 MEMORY_MB = 96  # half of the smallest machine's, so that a small crowd can exceed it
 MAX_FDS = 700  # a sixth of the smallest machine's, for the same reason
 LARGE_PATH = "/a/large"
 LARGE_RESPONSE = b"x" * 250_000  # just below what an instance reads before it passes any of it on
+OTHER_PREFIX = "/other/"
+OTHER_SERVICE = "orders"
 START_SECONDS = 20.0
 ANSWER_SECONDS = 40.0  # longer than all timeouts of the configuration together
 RETRY_SECONDS = 0.2
@@ -121,15 +123,25 @@
 
 
 @asynccontextmanager
-async def running_front(folder: Path) -> AsyncIterator[FrontProcess]:
-    """Start a store, a target and an instance with little memory and few descriptors."""
+async def running_front(
+    folder: Path, other_targets: Sequence[str] = ()
+) -> AsyncIterator[FrontProcess]:
+    """Start a store, a target and an instance with little memory and few descriptors.
+
+    ``other_targets`` are the addresses of the targets of another service, under ``OTHER_PREFIX``.
+    """
     store, address = await running_store()
     target = IngressServer(_serve, IngressLimits)
     await target.listen("127.0.0.1", 0, 128)
-    configuration = manifest(**{"timeout-s": 2.5})
+    timeout = {"timeout-s": 2.5}
+    other = {**timeout, "path-prefix": OTHER_PREFIX, "service": OTHER_SERVICE}
+    configuration = manifest_of(1, {"r-1": timeout, "r-2": other})
     configuration["limits"] = {**LIMITS, "max-body-bytes": 1 << 20, "idle-timeout-s": 5}
     store.put_json("op/config", configuration)
     store.put_json("servers/t-1", entry(target.address(), slots=64))
+    for number, other in enumerate(other_targets):
+        where = entry(other, slots=64, service=OTHER_SERVICE)
+        store.put_json(f"servers/o-{number}", where)
     document = settings(address)
     document["self"]["limits"] = {"memory-mb": MEMORY_MB, "max-fds": MAX_FDS}
     path = folder / "front.json"
--- a/tests/unit/test_endless_input.py
+++ b/tests/unit/test_endless_input.py
@@ -17,6 +17,7 @@
 from cassiashore._internal.exceptions import ConnectionLostError
 from cassiashore._internal.models.address import Address
 from cassiashore._internal.net.http_client import (
+    MAX_HEAD_FIELDS,
     MAX_NON_BODY_BYTES,
     HttpConnection,
     connect,
@@ -122,6 +123,26 @@
     run(test)
 
 
+@pytest.mark.parametrize(("fields", "is_read"), [(MAX_HEAD_FIELDS, True), (257, False)])
+def test_the_number_of_header_fields_of_a_response_is_limited(fields: int, is_read: bool) -> None:
+    """Thousands of short fields took thirty times the bytes that had been received."""
+
+    async def test() -> None:
+        start = b"HTTP/1.1 200 OK\r\n" + b"X: a\r\n" * (fields - 1) + b"Content-Length: 2\r\n\r\nok"
+        server, address = await EndlessServer(start, b"").listen()
+        connection = (await connect(address, TEST_TIMEOUT_SECONDS)).unwrap()
+        failed = False
+        try:
+            await read_response(connection)
+        except ConnectionLostError:
+            failed = True
+        assert failed is not is_read
+        connection.close()
+        server.close()
+
+    run(test)
+
+
 def test_trailers_are_not_added_to_the_response_headers() -> None:
     async def test() -> None:
         endless = EndlessServer(CHUNKED_HEAD + b"2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n", b"")
