Tests: serve the connections of fake targets in tasks of their own

Eight tests of test_odd_entries.py failed in each start under Python 3.11. They allow no logged exception, and asyncio 3.11 logs a CancelledError for each coroutine that serves a connection and is cancelled as the loop ends (3.12 does not). That was the tests' own target; the instance logged nothing.

Change: a fake target starts these tasks itself, and reports any other error of theirs to the loop's exception handler, as asyncio 3.12 does. The check for logged exceptions is as strict as before.

--- a/tests/lib/steering_builders.py
+++ b/tests/lib/steering_builders.py
@@ -135,9 +135,10 @@
     address: str = ""
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, port: int = 0) -> FakeTarget:
-        self.server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.server = await asyncio.start_server(self._begin, "127.0.0.1", port)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self
@@ -159,6 +160,23 @@
         """Listen again at the same address."""
         await self.start(int(self.address.rpartition(":")[2]))
 
+    def _begin(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a connection in a task of its own.
+
+        For a coroutine, asyncio of Python 3.11 logs an error when its task is cancelled as the loop
+        ends. Other errors are reported here as well.
+        """
+        task = asyncio.create_task(self._accept(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            context = {"message": "a connection of a test's target failed", "exception": error}
+            task.get_loop().call_exception_handler(context)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.writers.add(writer)
