Soak: lose the answers of popular orders, and count denied requests

The soak had no equal unsafe requests and did not look at statuses that end a request for good, so that it could not find the fault of docs/incidents/lost-answers.md. A fifth of the unsafe requests is now one popular order, the fault "answers-lost" lets most targets lose many responses, and DENIED allows what the users' rule allows.

--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -18,6 +18,7 @@
 UNSAFE_SHARE = 0.4  # of the requests
 ADDED_ROUTE_SHARE = 0.15  # of the idempotent requests
 AFFINITY_KEYS = 40  # enough that each target serves some of them
+POPULAR_SHARE = 0.2  # of the unsafe requests; these are all equal
 MAX_RESPONSE_BYTES = 1 << 16  # responses are short
 
 
@@ -54,13 +55,16 @@
         self._sent += 1
         request_id = f"{self._name}-{self._sent}"
         is_unsafe = self._rng.random() < UNSAFE_SHARE
+        key = self._rng.randrange(AFFINITY_KEYS)
         path = f"{self._prefix(is_unsafe)}{self._rng.randrange(AFFINITY_KEYS)}"
         body = self._rng.randbytes(self._rng.choice((0, 10, 5000))) if is_unsafe else b""
+        if is_unsafe and self._rng.random() < POPULAR_SHARE:
+            key, path, body = 0, "/b/popular", b""
         sent_at = time.monotonic()
         status, headers, content = 0, {}, b""
         try:
             async with asyncio.timeout(DEADLINE_SECONDS):
-                head = self._head(request_id, path, is_unsafe, body)
+                head = self._head(request_id, path, is_unsafe, body, key)
                 connection.start_exchange(head + body)
                 response = await connection.response_head()
                 content = await connection.read_all(MAX_RESPONSE_BYTES)
@@ -97,15 +101,12 @@
             return self._rng.choice(added[-3:])
         return "/a/"
 
-    def _head(self, request_id: str, path: str, is_unsafe: bool, body: bytes) -> bytes:
+    def _head(self, request_id: str, path: str, is_unsafe: bool, body: bytes, key: int) -> bytes:
         headers: Headers = [
             (b"host", b"shop.example"),
             (EDGE_HEADERS.request_id, request_id.encode()),
             (EDGE_HEADERS.deadline_ms, b"%d" % int(DEADLINE_SECONDS * 1000)),
-            (
-                b"cookie",
-                b"%b=%d" % (EDGE_HEADERS.affinity_cookie, self._rng.randrange(AFFINITY_KEYS)),
-            ),
+            (b"cookie", b"%b=%d" % (EDGE_HEADERS.affinity_cookie, key)),
         ]
         if is_unsafe:
             headers.append((b"content-length", b"%d" % len(body)))
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -242,6 +242,20 @@
     handle.target.slowdown_factor, handle.target.lost_response_share = 1.0, 0.0
 
 
+@fault("answers-lost")
+async def answers_lost(environment: SoakEnvironment) -> None:
+    """Let most targets lose many of their responses, while they run on."""
+    seconds = environment.rng.uniform(2.0, 4.0)
+    handles = list(environment.target_by_id.values())
+    lossy = environment.rng.sample(handles, round(0.6 * len(handles)))
+    for handle in lossy:
+        handle.disturbed_at = time.monotonic() + seconds
+        handle.target.lost_response_share = environment.rng.choice((0.4, 1.0))
+    await asyncio.sleep(seconds)
+    for handle in lossy:
+        handle.target.lost_response_share = 0.0
+
+
 @fault("target-endless")
 async def target_endless(environment: SoakEnvironment) -> None:
     """Let some responses of a target never end."""
--- a/lab/soak/invariants.py
+++ b/lab/soak/invariants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,6 +13,9 @@
 SLACK_SECONDS = 0.5  # added to time limits, for delays of this machine and of the stand-ins
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MIN_SERVED_SHARE_AT_END = 0.9  # of the attempts, after the last fault has ended
+# Statuses of the system that end a proper request for good; 404 is checked against the routes.
+DENIALS = frozenset(range(400, 500)) - NOT_RUN_STATUSES - {404}
+ALWAYS_DENIED, DENIED_SHARE = 5, 1 / 500  # requests that may be ended so
 PERMANENT_PREFIXES = frozenset({"/a/", "/b/"})  # of routes that no manifest drops
 
 
@@ -188,7 +192,10 @@
 
 
 def check_end(checker: InvariantChecker, settled_at: float) -> None:
-    """Check that requests are served again after the last fault has ended."""
+    """Check that few proper requests were denied, and that requests are served in the end."""
+    denied = Counter(a.status for a in checker.attempts if a.status in DENIALS and not a.has_stamp)
+    if denied.total() > ALWAYS_DENIED + DENIED_SHARE * len(checker.attempts):
+        checker.add_violation("DENIED", f"of {len(checker.attempts)} requests: {dict(denied)}")
     share = checker.served_share_since(settled_at)
     if share < MIN_SERVED_SHARE_AT_END:
         checker.add_violation("RECOVER", f"{share:.2f} of the requests are served at the end")
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,13 +6,14 @@
 import random
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from lab.soak.environment import Instance, SoakEnvironment
 from lab.soak.faults import fault_by_name
-from lab.soak.invariants import Attempt, InvariantChecker
+from lab.soak.invariants import Attempt, InvariantChecker, check_end
 from lab.soak.target import Run, expected_body
 
 SECONDS = 5.0
@@ -52,6 +53,22 @@
     assert [violation.split(":")[0] for violation in checker.violations] == [invariant]
 
 
+@pytest.mark.parametrize(("denied", "invariants"), [(5, []), (6, ["DENIED"])])
+def test_the_soak_detects_denied_requests(
+    tmp_path: Path, denied: int, invariants: list[str]
+) -> None:
+    """Orders that targets which lost answers had run were refused for good, and no check saw it."""
+    checker = new_checker(tmp_path)
+    for _ in range(denied):
+        refused = replace(attempt(422), has_stamp=False)
+        checker.check_attempt(refused)
+    checker.check_attempt(attempt(422))
+    checker.violations.clear()
+    check_end(checker, float("-inf"))
+    found = [violation.split(":")[0] for violation in checker.violations]
+    assert [name for name in found if name != "RECOVER"] == invariants
+
+
 def test_the_soak_accepts_allowed_outcomes(tmp_path: Path) -> None:
     checker = new_checker(tmp_path)
     checker.environment.ledger.record(run_of())
