--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -29,6 +29,7 @@
 STORE_ERAS = "tests/functional/test_store_eras.py"
 MIRROR = "tests/unit/test_mirror.py"
 RELAY = "tests/unit/test_relay.py"
+LOST_ANSWERS = "tests/unit/test_lost_answers.py"
 
 
 @dataclass(frozen=True, slots=True)
@@ -433,6 +434,48 @@
         "if False:",
         f"{STORE_ERAS}::test_a_draining_target_is_not_used_again_because_of_an_old_copy",
     ),
+    Mutation(
+        "loss: a target that accepts connections has not ended",
+        "requests/loss_checks.py",
+        "(Probe.ACCEPTED, False): Verdict.UNKNOWN",
+        "(Probe.ACCEPTED, False): Verdict.ENDED",
+        f"{LOST_ANSWERS}::test_orders_whose_answers_are_lost_are_not_refused",
+    ),
+    Mutation(
+        "loss: a target that refuses connections has ended",
+        "requests/loss_checks.py",
+        "(Probe.REFUSED, False): Verdict.ENDED",
+        "(Probe.REFUSED, False): Verdict.UNKNOWN",
+        f"{LOST_ANSWERS}::test_an_order_that_ends_targets_is_refused_after_three_of_them",
+    ),
+    Mutation(
+        "loss: a later run at the address shows that the earlier one ended",
+        "steering/registry.py",
+        "Presence.SUPERSEDED)",
+        "Presence.REMOVED)",
+        f"{LOST_ANSWERS}::test_targets_that_are_started_again_at_once_count_as_ended",
+    ),
+    Mutation(
+        "loss: an attempt waits for the checks of its request",
+        "requests/loss_checks.py",
+        "        if checks:\n            await",
+        "        if False:\n            await",
+        f"{LOST_ANSWERS}::test_a_read_that_ends_targets_is_refused_as_soon_as_three_ended",
+    ),
+    Mutation(
+        "a body is whole only if it was complete when its start was taken",
+        "ingress/body.py",
+        "is_whole = self.is_complete\n        return BodyStart(self._take_data(), is_whole)",
+        "data = self._take_data()\n        return BodyStart(data, self.is_complete)",
+        "tests/unit/test_bodies_whole.py",
+    ),
+    Mutation(
+        "the number of header fields of a response is limited",
+        "net/http_client.py",
+        "MAX_HEAD_FIELDS = 256",
+        "MAX_HEAD_FIELDS = 1 << 30",
+        "tests/functional/test_misbehaving_targets.py",
+    ),
 ]
 
 
