--- a/tests/unit/test_lost_answers.py
+++ b/tests/unit/test_lost_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 import uvloop
@@ -108,9 +109,10 @@
         self.clients: list[RawClient] = []
         self.arrivals = 0
 
-    async def start(self, instances: int, *, timeout: float = 2.0) -> None:
-        routes = table(route(kind=NON_IDEMPOTENT, timeout=timeout))
-        self.ingresses = await start_ingresses(instances, routes)
+    async def start(self, instances: int, **changes: Any) -> None:
+        """Start the instances and targets; ``changes`` are those of an ordinary route of orders."""
+        rule = route(**{"kind": NON_IDEMPOTENT, **changes})
+        self.ingresses = await start_ingresses(instances, table(rule))
         for number in range(TARGETS):
             target = await FakeTarget(self._serve_at(number)).start()
             self.targets.append(target)
@@ -325,11 +327,7 @@
 
     async def test() -> None:
         shop = CrashShop()
-        shop.ingresses = await start_ingresses(1, table(route(max_attempts=4)))
-        for number in range(TARGETS):
-            target = await FakeTarget(shop._serve_at(number)).start()
-            shop.targets.append(target)
-            shop.register(f"t-{number}", target.address, 1)
+        await shop.start(1, kind=RequestKind.IDEMPOTENT, max_attempts=4)
         assert await shop.order(0) == 502
         assert await shop.order(1) == POISONOUS
         assert shop.arrivals == CRASHES
