--- a/review/support-3/small_deployment.py
+++ b/review/support-3/small_deployment.py
@@ -281,12 +281,12 @@
     nodes: list[Node] = field(default_factory=list)
     upstreams: list[Upstream] = field(default_factory=list)
     version: int = 0
-    _net: str = ""
+    net: str = ""
 
     async def begin(self) -> None:
         """Start the store on a loopback network of its own."""
-        self._net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
-        self.store_address = await self.store.listen(f"{self._net}.250")
+        self.net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
+        self.store_address = await self.store.listen(f"{self.net}.250")
 
     def put_manifest(self, routes: dict[str, dict[str, Any]], services: list[str]) -> None:
         """Write a manifest, as the operator does."""
@@ -312,7 +312,7 @@
     ) -> Upstream:
         """Start an upstream and write its entry."""
         upstream = Upstream(self.record, name, service, zone, work_s)
-        await upstream.start(f"{self._net}.{100 + len(self.upstreams)}")
+        await upstream.start(f"{self.net}.{100 + len(self.upstreams)}")
         self.upstreams.append(upstream)
         self.store.put(f"servers/{name}", upstream.entry())
         return upstream
@@ -320,7 +320,7 @@
     def add_node(self, zone: str, seeds_from: int = 3) -> Node:
         """Add a machine; ``start_node`` starts its process."""
         number = len(self.nodes) + 1
-        ip = f"{self._net}.{number}"
+        ip = f"{self.net}.{number}"
         listen = {role: f"{ip}:{free_port(ip)}" for role in ("front", "ready", "directory")}
         listen["control"] = f"{ip}:{free_port(ip)}"
         first = 7620
