--- a/review/support-3/small_deployment.py
+++ b/review/support-3/small_deployment.py
@@ -68,6 +68,7 @@
     "idle-timeout-s": 15,
 }
 START_SECONDS = 20.0
+SEEDS = 3  # machines that the settings name
 
 
 class CannotRunError(Exception):
@@ -317,7 +318,7 @@
         self.store.put(f"servers/{name}", upstream.entry())
         return upstream
 
-    def add_node(self, zone: str, seeds_from: int = 3) -> Node:
+    def add_node(self, zone: str) -> Node:
         """Add a machine; ``start_node`` starts its process."""
         number = len(self.nodes) + 1
         ip = f"{self.net}.{number}"
@@ -339,7 +340,7 @@
 
     def write_settings(self) -> None:
         """Write the settings files of all machines, in the form of the users' page."""
-        seeds = [node.listen["control"] for node in self.nodes[:3]]
+        seeds = [node.listen["control"] for node in self.nodes[:SEEDS]]
         for node in self.nodes:
             document = {
                 "self": {
